--- a/admission/example_test.go
+++ b/admission/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"kestrelmoor.example/kestrelmoor/admission"
+	"ferryfront.example/ferryfront/admission"
 )
 
 // A host drives one gateway: a request within its quota, a counter answer, a refusal, a timer.
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -1,6 +1,6 @@
 package admission
 
-// The decision module of kestrelmoor. Its interface (settings, events, actions and the
+// The decision module of ferryfront. Its interface (settings, events, actions and the
 // host's contract) is in api.go; everything that is decided, and every tuned value, is
 // here. Order: constants, events, quota, counter trouble, ceiling, servers, attempts, final answers.
 
--- a/cmd/kestrelsim/main.go
+++ b/cmd/ferrysim/main.go
@@ -1,4 +1,4 @@
-// Command kestrelsim hosts gateways of package admission on the simulator's wire:
+// Command ferrysim hosts gateways of package admission on the simulator's wire:
 // batches of events on standard input, a reply to each on standard output.
 package main
 
@@ -10,13 +10,13 @@
 	"os"
 	"time"
 
-	"kestrelmoor.example/kestrelmoor/admission"
-	"kestrelmoor.example/kestrelmoor/internal/simwire"
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/simwire"
 )
 
 func main() {
 	if err := run(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "kestrelsim:", err)
+		fmt.Fprintln(os.Stderr, "ferrysim:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"kestrelmoor.example/kestrelmoor/admission"
+	"ferryfront.example/ferryfront/admission"
 )
 
 // Kind tells what a line is.
--- a/internal/simwire/encode.go
+++ b/internal/simwire/encode.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"kestrelmoor.example/kestrelmoor/admission"
+	"ferryfront.example/ferryfront/admission"
 )
 
 // Done is the line that ends a reply.
--- a/internal/simwire/params.go
+++ b/internal/simwire/params.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"kestrelmoor.example/kestrelmoor/admission"
+	"ferryfront.example/ferryfront/admission"
 )
 
 // wireParams are the settings of an instance; a pointer is one that must be there.
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"kestrelmoor.example/kestrelmoor/admission"
+	"ferryfront.example/ferryfront/admission"
 )
 
 const bornLine = `{"Born":{"gatekeeper":3,"nonce64":18446744073709551615,"params":{"balancers":4,"me":3,"period":4.0,` +
