--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,108 @@
+// Package config reads what the platform tells an ingress at its start.
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/discovery"
+	"ferryfront.example/ferryfront/internal/settings"
+)
+
+// Config is one ingress's configuration.
+type Config struct {
+	Name, Listen, Discovery, Counter string
+	Seed                             uint64
+	Cores                            float64
+	Known                            discovery.List
+	Settings                         admission.Settings
+	Limits                           limits.Limits
+}
+
+// Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY, where they are set,
+// go before what the file says.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("GW_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("GW_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	c, err := Parse(raw, getenv)
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// Parse reads a configuration. Its errors name the field.
+func Parse(raw []byte, getenv func(string) string) (Config, error) {
+	var none Config
+	v, err := fastjson.ParseBytes(raw)
+	if err != nil {
+		return none, fmt.Errorf("not JSON: %w", err)
+	}
+	r := settings.NewReader(v, "")
+	r.Need("limits", "settings")
+	c := Config{
+		Name:      cmp.Or(getenv("GW_NAME"), r.Text("name")),
+		Listen:    cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
+		Discovery: cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
+		Counter:   r.Text("counter"),
+		Cores:     r.Object("limits").Float("cores"),
+	}
+	set := r.Object("settings")
+	if err := r.Err(); err != nil {
+		return none, err
+	}
+	if c.Settings, err = settings.Read(set); err != nil {
+		return none, err
+	}
+	if c.Known, err = discovery.ReadList(r.Object("known")); err != nil {
+		return none, err
+	}
+	if seed := r.Text("seed"); seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return none, fmt.Errorf("seed %q is no hexadecimal number of 64 bits", seed)
+		}
+	}
+	site := limits.Site{Sockets: r.Object("limits").Int("sockets"), MemoryMB: r.Object("limits").Int("memory_mb"),
+		IdleClose: set.Object("limits").Millis("idleClose"), DialLimit: c.Settings.DialLimit,
+		CounterLimit: c.Settings.CounterLimit}
+	for _, class := range c.Settings.Classes {
+		site.LongestDeadline = max(site.LongestDeadline, min(class.Deadline, 3*time.Second))
+	}
+	if err := r.Err(); err != nil {
+		return none, err
+	}
+	if c.Limits, err = limits.For(site); err != nil {
+		return none, err
+	}
+	for _, a := range []struct {
+		field, addr string
+		must        bool
+	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"counter", c.Counter, c.Settings.HasCounter}} {
+		if a.addr == "" && !a.must {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return none, fmt.Errorf("%s: %w", a.field, err)
+		}
+	}
+	// The module holds the rest to its own standard, before anything is opened.
+	if _, err := admission.New(c.Settings, c.Seed); err != nil {
+		return none, err
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,422 @@
+// Package core holds the streams: client requests that are owed one answer each, and
+// the upstream requests made for them. It knows no wire and decides nothing: it
+// gathers a turn's events, gives them to the decision module in one go and then
+// carries out what came back.
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/timerq"
+)
+
+// Decider is the decision module.
+type Decider interface {
+	Handle(now time.Duration, ev admission.Event) []admission.Action
+}
+
+// Ref names an upstream request: the stream and the number among its own.
+type Ref struct {
+	Stream  uint64
+	Attempt int
+}
+
+// Payload is what a stream carries to its upstream host. The core does not look into it.
+type Payload any
+
+// Upstreams carries out upstream requests. Each started one ends with one call of
+// [Core.UpstreamEnded], unless it was cancelled; ending within Start is fine.
+type Upstreams interface {
+	Start(ref Ref, host string, p Payload, wait time.Duration)
+	Cancel(ref Ref)
+	Probe(ref Ref, host string, wait time.Duration)
+	CloseIdle(host string)
+}
+
+// Counter carries out counter calls; each ends with one call of [Core.Counted].
+type Counter interface {
+	Add(name string, by float64, keep time.Duration)
+}
+
+// Cluster is asked for the whole list.
+type Cluster interface{ Refetch() }
+
+// Answer is what an upstream host answered.
+type Answer struct {
+	Body        []byte
+	ContentType string
+}
+
+// EndKind tells how a stream ended.
+type EndKind int
+
+const (
+	Served  EndKind = iota // with an upstream host's answer
+	Refused                // by the module: trying again is harmless
+	Failed                 // by the module: nothing is promised of the effect
+	Expired                // by the module, after an upstream request ran out of time; or by nobody in time
+	Left                   // its client went away
+)
+
+// End is the one end of a stream.
+type End struct {
+	Kind       EndKind
+	Answer     Answer
+	RetryAfter time.Duration
+	Sent       bool // an upstream request was made for it
+}
+
+// Owner is the front's side of a stream. It is told the end once, unless the client left.
+type Owner interface{ End(e End) }
+
+// Request is what a front knows of a client's request.
+type Request struct {
+	admission.RequestArrived // all but the ID
+	Payload                  Payload
+	Owner                    Owner
+}
+
+// Record is what an observer is told of an ended stream.
+type Record struct {
+	Class, Plan int
+	Kind        EndKind
+	Began       time.Duration
+	Took        time.Duration
+	Attempts    []AttemptRecord
+}
+
+// AttemptRecord is one upstream request of a stream.
+type AttemptRecord struct {
+	Host    string
+	Began   time.Duration
+	Took    time.Duration // 0 while it is out
+	Outcome admission.Outcome
+}
+
+// Observer is told of what has happened. It must return at once.
+type Observer interface {
+	StreamEnded(Record)
+	CounterAnswered(admission.Outcome, time.Duration)
+}
+
+type attempt struct {
+	AttemptRecord
+	live bool
+}
+
+type stream struct {
+	id          uint64
+	payload     Payload
+	owner       Owner
+	began, ends time.Duration
+	class, plan int
+	closed      bool
+	timedOut    bool // its last upstream request ran out of time
+	attempts    []attempt
+	live        int
+}
+
+type timerKind int
+
+const (
+	moduleTimer timerKind = iota
+	waitOver              // of an upstream request
+	deadline              // of a stream: upstream requests end here
+	overdue               // of a stream that nobody answered
+	probeOver
+)
+
+type due struct {
+	kind  timerKind
+	ref   Ref
+	token uint64
+}
+
+type probe struct {
+	host  string
+	began time.Duration
+}
+
+// Core is owned by the loop's goroutine.
+type Core struct {
+	decider   Decider
+	upstreams Upstreams
+	counter   Counter
+	cluster   Cluster
+	observer  Observer
+	log       *slog.Logger
+	margin    time.Duration
+
+	now     time.Duration
+	lastID  uint64
+	streams map[uint64]*stream
+	probes  map[uint64]probe
+	open    int // streams not ended
+	timers  timerq.Queue[due]
+	events  []admission.Event
+	spare   []admission.Event
+	actions []admission.Action
+}
+
+// Config holds what a core is built of. Margin is how long before the client's own deadline
+// an answer has to be on its way.
+type Config struct {
+	Decider   Decider
+	Upstreams Upstreams
+	Counter   Counter
+	Cluster   Cluster
+	Observer  Observer // may be nil
+	Log       *slog.Logger
+	Margin    time.Duration
+}
+
+// New returns a core without streams.
+func New(c Config) *Core {
+	return &Core{decider: c.Decider, upstreams: c.Upstreams, counter: c.Counter, cluster: c.Cluster,
+		observer: c.Observer, log: c.Log, margin: c.Margin,
+		streams: map[uint64]*stream{}, probes: map[uint64]probe{}}
+}
+
+// Open tells how many streams are owed an answer.
+func (c *Core) Open() int { return c.open }
+
+// Tick sets the time of the turn that begins.
+func (c *Core) Tick(now time.Duration) { c.now = max(c.now, now) }
+
+// Arrive opens a stream and returns its id. The ids are the core's own: two clients may send the same.
+func (c *Core) Arrive(now time.Duration, r Request) uint64 {
+	c.Tick(now)
+	c.lastID++
+	ev := r.RequestArrived
+	ev.ID = c.lastID
+	ev.ExpiresIn = max(0, ev.ExpiresIn-c.margin)
+	s := &stream{id: ev.ID, payload: r.Payload, owner: r.Owner, began: c.now, ends: c.now + ev.ExpiresIn,
+		class: ev.Class, plan: ev.Plan}
+	c.streams[s.id] = s
+	c.open++
+	c.timers.Push(s.ends, due{kind: deadline, ref: Ref{Stream: s.id}})
+	c.timers.Push(s.ends+c.margin/2, due{kind: overdue, ref: Ref{Stream: s.id}})
+	c.events = append(c.events, ev)
+	return s.id
+}
+
+// Leave tells that a stream's client has gone.
+func (c *Core) Leave(now time.Duration, id uint64) {
+	c.Tick(now)
+	if s := c.streams[id]; s != nil && !s.closed {
+		s.owner = nil
+		c.end(s, End{Kind: Left})
+		c.events = append(c.events, admission.ClientLeft{ID: id})
+	}
+}
+
+// UpstreamEnded takes the outcome of an upstream request. The first good answer is the stream's.
+func (c *Core) UpstreamEnded(now time.Duration, ref Ref, o admission.Outcome, a Answer) {
+	c.Tick(now)
+	s := c.streams[ref.Stream]
+	if s == nil || ref.Attempt >= len(s.attempts) || !s.attempts[ref.Attempt].live {
+		return
+	}
+	t := &s.attempts[ref.Attempt]
+	t.live, t.Outcome, t.Took = false, o, c.now-t.Began
+	s.live--
+	s.timedOut = o == admission.TimedOut
+	if o == admission.OK && !s.closed {
+		c.end(s, End{Kind: Served, Answer: a})
+	}
+	c.events = append(c.events, admission.AttemptEnded{ID: s.id, Attempt: ref.Attempt, Server: t.Host,
+		Outcome: o, Took: t.Took, Done: s.closed})
+	c.forget(s)
+}
+
+// ProbeEnded takes the outcome of a probe.
+func (c *Core) ProbeEnded(now time.Duration, ref Ref, o admission.Outcome) {
+	c.Tick(now)
+	if p, ok := c.probes[ref.Stream]; ok {
+		delete(c.probes, ref.Stream)
+		c.events = append(c.events, admission.ProbeEnded{Server: p.host, Took: c.now - p.began, Outcome: o})
+	}
+}
+
+// Counted takes the answer to a counter call.
+func (c *Core) Counted(ev admission.CounterAnswered) {
+	c.events = append(c.events, ev)
+	if c.observer != nil {
+		c.observer.CounterAnswered(ev.Outcome, ev.Took)
+	}
+}
+
+// List takes discovery's news.
+func (c *Core) List(ev admission.ServerList) { c.events = append(c.events, ev) }
+
+// Turn fires what is due, gives the turn's events to the module in one go and carries out the
+// actions. It returns when it needs the next turn, 0 for never.
+func (c *Core) Turn(now time.Duration) time.Duration {
+	c.Tick(now)
+	for {
+		d, ok := c.timers.Pop(c.now)
+		if !ok {
+			break
+		}
+		c.fire(d)
+	}
+	events := c.events
+	c.events, c.spare = c.spare[:0], events
+	c.actions = c.actions[:0]
+	for _, ev := range events {
+		c.handle(ev)
+	}
+	clear(events)
+	for _, a := range c.actions {
+		c.do(a)
+	}
+	if len(c.events) > 0 { // carrying out has brought news
+		return c.now
+	}
+	next, _ := c.timers.Next()
+	return next
+}
+
+// handle runs the module on one event. A fault in it must not take the other streams along; the one
+// that met it is still answered, at its deadline.
+func (c *Core) handle(ev admission.Event) {
+	defer func() {
+		if r := recover(); r != nil {
+			c.log.Error("decision module failed", "event", fmt.Sprintf("%T", ev), "fault", fmt.Sprint(r))
+		}
+	}()
+	c.actions = append(c.actions, c.decider.Handle(c.now, ev)...)
+}
+
+func (c *Core) fire(d due) {
+	switch d.kind {
+	case moduleTimer:
+		c.events = append(c.events, admission.TimerFired{Token: d.token})
+	case probeOver:
+		if _, ok := c.probes[d.ref.Stream]; ok {
+			c.upstreams.Cancel(d.ref)
+			c.ProbeEnded(c.now, d.ref, admission.TimedOut)
+		}
+	case waitOver:
+		c.stop(d.ref, admission.TimedOut)
+	case deadline:
+		if s := c.streams[d.ref.Stream]; s != nil {
+			for i := range s.attempts {
+				c.stop(Ref{s.id, i}, admission.TimedOut)
+			}
+		}
+	case overdue:
+		// The module answers every stream by its deadline. Should it not, the client still gets its one
+		// answer, and that is no refusal: the module has ordered none.
+		if s := c.streams[d.ref.Stream]; s != nil && !s.closed {
+			c.log.Error("stream unanswered at its deadline", "stream", s.id)
+			c.end(s, End{Kind: Expired})
+			c.events = append(c.events, admission.ClientLeft{ID: s.id})
+		}
+	}
+}
+
+// stop gives up an upstream request that is out. Its connection is closed before the module hears
+// of it, so that a further one is never a second copy.
+func (c *Core) stop(ref Ref, o admission.Outcome) {
+	s := c.streams[ref.Stream]
+	if s == nil || ref.Attempt < 0 || ref.Attempt >= len(s.attempts) || !s.attempts[ref.Attempt].live {
+		return
+	}
+	c.upstreams.Cancel(ref)
+	c.UpstreamEnded(c.now, ref, o, Answer{})
+}
+
+func (c *Core) do(a admission.Action) {
+	switch a := a.(type) {
+	case admission.Send:
+		c.send(a)
+	case admission.Cancel:
+		c.stop(Ref{a.ID, a.Attempt}, admission.Cancelled)
+	case admission.Refuse:
+		if s := c.streams[a.ID]; s != nil && !s.closed {
+			c.end(s, End{Kind: Refused, RetryAfter: a.RetryAfter})
+		}
+	case admission.Fail:
+		if s := c.streams[a.ID]; s != nil && !s.closed {
+			kind := Failed
+			if s.timedOut {
+				kind = Expired
+			}
+			c.end(s, End{Kind: kind})
+		}
+	case admission.SetTimer:
+		c.timers.Push(a.At, due{kind: moduleTimer, token: a.Token})
+	case admission.CounterAdd:
+		c.counter.Add(a.Name, a.By, a.Keep)
+	case admission.Probe:
+		c.lastID++
+		ref := Ref{Stream: c.lastID}
+		c.probes[ref.Stream] = probe{a.Server, c.now}
+		c.timers.Push(c.now+probeLimit, due{kind: probeOver, ref: ref})
+		c.upstreams.Probe(ref, a.Server, probeLimit)
+	case admission.CloseIdle:
+		c.upstreams.CloseIdle(a.Server)
+	case admission.FetchList:
+		c.cluster.Refetch()
+	case admission.Subscribe: // the watch is always on
+	case admission.Log:
+		c.log.Info("decision", "text", a.Text)
+	default:
+		c.log.Error("action not carried out", "action", fmt.Sprintf("%T", a))
+	}
+}
+
+// probeLimit is for a probe, which no request waits for.
+const probeLimit = time.Second
+
+func (c *Core) send(a admission.Send) {
+	s := c.streams[a.ID]
+	if s == nil {
+		c.log.Error("send for an unknown stream", "stream", a.ID)
+		return
+	}
+	ref := Ref{s.id, len(s.attempts)}
+	s.attempts = append(s.attempts, attempt{AttemptRecord{Host: a.Server, Began: c.now}, true})
+	s.live++
+	if s.closed || c.now >= s.ends || a.Wait < 0 {
+		c.UpstreamEnded(c.now, ref, admission.NotSent, Answer{})
+		return
+	}
+	wait := s.ends - c.now
+	if a.Wait > 0 && a.Wait < wait {
+		wait = a.Wait
+		c.timers.Push(c.now+wait, due{kind: waitOver, ref: ref})
+	}
+	c.upstreams.Start(ref, a.Server, s.payload, wait)
+}
+
+// end closes a stream, once.
+func (c *Core) end(s *stream, e End) {
+	s.closed = true
+	c.open--
+	e.Sent = len(s.attempts) > 0
+	owner := s.owner
+	s.owner = nil
+	if owner != nil {
+		owner.End(e)
+	}
+	if c.observer != nil {
+		rec := Record{Class: s.class, Plan: s.plan, Kind: e.Kind, Began: s.began, Took: c.now - s.began}
+		for _, t := range s.attempts {
+			rec.Attempts = append(rec.Attempts, t.AttemptRecord)
+		}
+		c.observer.StreamEnded(rec)
+	}
+	c.forget(s)
+}
+
+func (c *Core) forget(s *stream) {
+	if s.closed && s.live == 0 {
+		s.payload = nil
+		delete(c.streams, s.id)
+	}
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,75 @@
+// Package front holds what the fronts share: from a client's request to a stream of
+// the core, and from the stream's end to an answer.
+package front
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/net/downstream"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/upstream"
+)
+
+// Streams is the core, as fronts see it.
+type Streams interface {
+	Arrive(now time.Duration, r core.Request) uint64
+	Leave(now time.Duration, id uint64)
+}
+
+// passed are the headers that go on to upstream hosts as they came.
+var passed = [...]string{"Request-Id", "Idempotency-Key", "Content-Type"}
+
+// Message makes of a request what goes to an upstream host. The body is copied: the connection that
+// it was read from may be gone before it has been sent.
+func Message(r *http1.Request) *upstream.Message {
+	m := &upstream.Message{Method: r.Method, Target: r.Target, Headers: make(http1.Headers, 0, len(passed)+1)}
+	for _, name := range passed {
+		if v := r.Headers.Get(name); v != "" {
+			m.Headers = append(m.Headers, http1.Header{Name: name, Value: v})
+		}
+	}
+	if len(r.Body) > 0 {
+		m.Body = append([]byte(nil), r.Body...)
+	}
+	return m
+}
+
+// Open opens the stream of a request.
+func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) {
+	c.Stream = s.Arrive(c.Now(), core.Request{RequestArrived: a, Payload: Message(r), Owner: o})
+}
+
+// RefusalStatus: a request that was never sent on met its quota; one that was met pressure.
+func RefusalStatus(e core.End) int {
+	if e.Sent {
+		return 503
+	}
+	return 429
+}
+
+// Customer reads the customer's number: 16 hexadecimal digits, or fewer.
+func Customer(text string) (uint64, bool) {
+	n, err := strconv.ParseUint(text, 16, 64)
+	return n, err == nil && len(text) <= 16
+}
+
+// Timeout reads a time such as "480m" (milliseconds) or "480000u" (microseconds).
+func Timeout(text string) (time.Duration, bool) {
+	unit := time.Millisecond
+	digits, ok := strings.CutSuffix(text, "m")
+	if !ok {
+		if digits, ok = strings.CutSuffix(text, "u"); !ok {
+			return 0, false
+		}
+		unit = time.Microsecond
+	}
+	f, err := strconv.ParseFloat(digits, 64)
+	if err != nil || !(f >= 0 && f <= 1e12) {
+		return 0, false
+	}
+	return time.Duration(f * float64(unit)).Truncate(time.Microsecond), true
+}
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,146 @@
+// Package platform is the front for the platform's own protocol.
+package platform
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/front"
+	"ferryfront.example/ferryfront/internal/net/downstream"
+	"ferryfront.example/ferryfront/internal/net/http1"
+)
+
+// Front translates the platform's requests.
+type Front struct {
+	streams  front.Streams
+	settings admission.Settings
+	classes  map[string]int
+	plans    map[string]int
+	ready    func() bool
+}
+
+// New returns a front. ready tells whether the daemon may be sent requests.
+func New(s front.Streams, set admission.Settings, ready func() bool) *Front {
+	f := &Front{streams: s, settings: set, classes: map[string]int{}, plans: map[string]int{}, ready: ready}
+	for i, c := range set.Classes {
+		f.classes[c.Name] = i
+	}
+	for i, p := range set.Plans {
+		f.plans[p.Name] = i
+	}
+	return f
+}
+
+// Request answers what is no stream, and opens one for what is.
+func (f *Front) Request(c *downstream.Conn, r *http1.Request) {
+	path := r.Path()
+	switch {
+	case path == "/up":
+		status := 200
+		if !f.ready() {
+			status = 503
+		}
+		c.Reply(status, nil, nil)
+		return
+	case !strings.HasPrefix(path, "/api/"):
+		local(c, 404, "no such path")
+		return
+	case r.Method != "GET" && r.Method != "POST":
+		c.Reply(405, http1.Headers{{Name: "Allow", Value: "GET, POST"}}, nil)
+		return
+	}
+	a, err := f.read(r, path)
+	if err != nil {
+		local(c, 400, err.Error())
+		return
+	}
+	front.Open(f.streams, c, a, r, owner{c})
+}
+
+// Left tells the core that a client has gone.
+func (f *Front) Left(c *downstream.Conn) { f.streams.Leave(c.Now(), c.Stream) }
+
+// Malformed answers what could not be read.
+func (f *Front) Malformed(c *downstream.Conn, status int, what string) { local(c, status, what) }
+
+func local(c *downstream.Conn, status int, what string) {
+	c.Reply(status, http1.Headers{{Name: "Content-Type", Value: "text/plain"}}, append([]byte(what), '\n'))
+}
+
+// read takes from the headers what the decision needs.
+func (f *Front) read(r *http1.Request, path string) (admission.RequestArrived, error) {
+	var a admission.RequestArrived
+	var ok bool
+	if r.Headers.Get("Request-Id") == "" {
+		return a, fmt.Errorf("Request-Id is missing")
+	}
+	if a.Class, ok = f.classes[r.Headers.Get("Request-Class")]; !ok {
+		return a, fmt.Errorf("Request-Class %q is not known", r.Headers.Get("Request-Class"))
+	}
+	class := &f.settings.Classes[a.Class]
+	a.Write = r.Method == "POST"
+	if class.Effect == admission.Keyed && r.Headers.Get("Idempotency-Key") == "" {
+		return a, fmt.Errorf("Idempotency-Key is missing")
+	}
+	if a.Plan, ok = f.plans[r.Headers.Get("X-Plan")]; !ok {
+		return a, fmt.Errorf("X-Plan %q is not known", r.Headers.Get("X-Plan"))
+	}
+	if a.Customer, ok = front.Customer(path[strings.LastIndexByte(path, '/')+1:]); !ok {
+		return a, fmt.Errorf("the path names no customer")
+	}
+	a.ExpiresIn = class.Deadline
+	if t := r.Headers.Get("Request-Timeout"); t != "" {
+		if a.ExpiresIn, ok = front.Timeout(t); !ok {
+			return a, fmt.Errorf("Request-Timeout %q is no time", t)
+		}
+	}
+	if a.ExpiresIn == 0 {
+		a.ExpiresIn = time.Minute
+	}
+	a.Units, a.Doors, a.FirstDoor = 1, f.settings.Gateways, 0
+	for field := range strings.SplitSeq(r.Headers.Get("X-Quota"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		into := map[string]*int{"units": &a.Units, "spread": &a.Doors, "first": &a.FirstDoor}[name]
+		if into == nil {
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 || n > 1e6 {
+			return a, fmt.Errorf("X-Quota: %s is %q", name, value)
+		}
+		*into = n
+	}
+	a.Retry = r.Headers.Get("Client-Retry") == "1"
+	return a, nil
+}
+
+// owner answers one request.
+type owner struct{ c *downstream.Conn }
+
+// End turns the end of a stream into the platform's answer.
+func (o owner) End(e core.End) {
+	switch e.Kind {
+	case core.Served:
+		var h http1.Headers
+		if e.Answer.ContentType != "" {
+			h = http1.Headers{{Name: "Content-Type", Value: e.Answer.ContentType}}
+		}
+		o.c.Reply(200, h, e.Answer.Body)
+	case core.Refused:
+		o.c.Reply(front.RefusalStatus(e), http1.Headers{{Name: "Retry-After", Value: retryAfter(e.RetryAfter)}}, nil)
+	case core.Expired:
+		o.c.Reply(504, nil, nil)
+	default:
+		o.c.Reply(502, nil, nil)
+	}
+}
+
+// retryAfter is in decimal seconds, up to the millisecond.
+func retryAfter(d time.Duration) string {
+	ms := max(1, (d+time.Millisecond-1)/time.Millisecond)
+	return strconv.FormatFloat(float64(ms)/1e3, 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,83 @@
+// Package limits holds every size, count and time that bounds the daemon.
+package limits
+
+import (
+	"fmt"
+	"time"
+)
+
+// Limits is filled once at start and handed down.
+type Limits struct {
+	Sockets  int // descriptors this process may hold
+	MemoryMB int
+
+	Downstream int // client connections held at once, over all fronts
+	Upstream   int // connections to upstream hosts held at once
+	HeadBytes  int // of a message's start line and headers
+	BodyBytes  int // of a message's body
+
+	DownstreamIdle time.Duration // a client connection silent this long between requests is closed
+	HeadTime       time.Duration // in which a request that has begun must be whole
+	Linger         time.Duration // for which bytes of a closed connection are still read
+	UpstreamIdle   time.Duration // an upstream connection idle this long is dropped
+	DialLimit      time.Duration // for a connection to come up
+
+	CounterConns   int           // connections to the counter
+	CounterPending int           // calls written and not answered on one of them
+	CounterLimit   time.Duration // for a call
+	CounterIdle    time.Duration // a counter connection idle this long is dropped
+	CounterSilence time.Duration // one that owes answers this long is given up
+	BackoffFirst   time.Duration // wait before a new connection after a failed one; doubles
+	BackoffMost    time.Duration
+
+	ClusterSilence time.Duration // a watch with nothing for this long is opened anew
+	ReadyWait      time.Duration // after which the daemon is ready though discovery is silent
+
+	AnswerMargin time.Duration // before the client's own deadline, for the answer's way back
+	DrainAccept  time.Duration // after SIGTERM, for which new connections are still taken
+	DrainMost    time.Duration // after SIGTERM, at which the daemon ends whatever is open
+}
+
+// reserve is what is kept free of connections: standard streams, epoll, eventfd,
+// listeners, discovery, telemetry's exporters, the runtime's own.
+const reserve = 48
+
+// Site is what the configuration tells of the machine and of its peers.
+type Site struct {
+	Sockets, MemoryMB                  int
+	IdleClose, DialLimit, CounterLimit time.Duration
+	LongestDeadline                    time.Duration
+}
+
+// For fills in the limits of a site.
+func For(s Site) (Limits, error) {
+	l := Limits{
+		Sockets: s.Sockets, MemoryMB: s.MemoryMB,
+		HeadBytes: 16 << 10, BodyBytes: 64 << 10,
+		DownstreamIdle: 2 * time.Minute, HeadTime: 10 * time.Second, Linger: time.Second,
+		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
+		CounterConns: 24, CounterPending: 48, CounterLimit: s.CounterLimit,
+		CounterIdle: 4 * time.Second, CounterSilence: 20 * time.Second,
+		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
+		ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
+		AnswerMargin: 8 * time.Millisecond,
+		DrainAccept:  700 * time.Millisecond,
+		DrainMost:    max(s.LongestDeadline, time.Second) + 600*time.Millisecond,
+	}
+	if l.UpstreamIdle <= 0 {
+		l.UpstreamIdle = 4 * time.Second
+	}
+	if l.DialLimit <= 0 {
+		l.DialLimit = 250 * time.Millisecond
+	}
+	if l.CounterLimit <= 0 {
+		l.CounterLimit = 50 * time.Millisecond
+	}
+	free := l.Sockets - reserve - l.CounterConns
+	if free < 32 {
+		return Limits{}, fmt.Errorf("limits.sockets is %d, need at least %d", l.Sockets, reserve+l.CounterConns+32)
+	}
+	l.Downstream = free / 2
+	l.Upstream = free - l.Downstream
+	return l, nil
+}
--- /dev/null
+++ b/internal/net/counter/counter.go
@@ -0,0 +1,278 @@
+// Package counter calls the shared quota counter over a few pipelined connections.
+package counter
+
+import (
+	"hash/fnv"
+	"log/slog"
+	"math"
+	"strconv"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
+)
+
+// Sink is told how calls end.
+type Sink interface {
+	Counted(admission.CounterAnswered)
+}
+
+// Client holds the connections. A name always goes by the same one, so that its answers keep the order
+// of its calls; there are many, so that a slow part of the counter holds up few calls of another.
+type Client struct {
+	loop  *loop.Loop
+	lim   limits.Limits
+	log   *slog.Logger
+	addr  string
+	sink  Sink
+	conns []*conn
+	lost  bool // told to the operator
+}
+
+// New returns a client. SetSink must follow before the first call.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string) *Client {
+	c := &Client{loop: l, lim: lim, log: log, addr: addr, conns: make([]*conn, lim.CounterConns)}
+	for i := range c.conns {
+		c.conns[i] = &conn{c: c}
+	}
+	l.After(sweepEvery, c.sweep)
+	return c
+}
+
+// SetSink names who is told of answers.
+func (c *Client) SetSink(s Sink) { c.sink = s }
+
+// sweepEvery is how often idle and silent connections are looked for.
+const sweepEvery = 500 * time.Millisecond
+
+func (c *Client) sweep() {
+	c.loop.After(sweepEvery, c.sweep)
+	now := c.loop.Now()
+	for _, k := range c.conns {
+		switch {
+		case k.src == nil:
+		case len(k.calls) == 0 && now-k.heard > c.lim.CounterIdle:
+			k.close() // before the counter does: a call that crosses its close may have been added
+		case len(k.calls) > 0 && now-max(k.heard, k.calls[0].at) > c.lim.CounterSilence:
+			k.fail("silent")
+		}
+	}
+}
+
+// Add makes one call.
+func (c *Client) Add(name string, by float64, keep time.Duration) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	c.conns[h.Sum32()%uint32(len(c.conns))].add(name, by, keep)
+}
+
+func (c *Client) answered(k *call, o admission.Outcome, total float64) {
+	if k.told {
+		return
+	}
+	k.told = true
+	k.timer.Stop()
+	if o == admission.OK && c.lost {
+		c.lost = false
+		c.log.Info("counter answers again")
+	}
+	c.sink.Counted(admission.CounterAnswered{Name: k.name, Total: total, Took: c.loop.Now() - k.at, Outcome: o})
+}
+
+// call is one call not yet answered by the counter. One that has run out of time is told at once, and
+// its place is kept, since its answer still comes before the next one's.
+type call struct {
+	name  string
+	at    time.Duration
+	end   int // bytes of the connection's stream after which it is wholly written
+	told  bool
+	timer *loop.Timer
+}
+
+type conn struct {
+	c             *Client
+	src           *loop.Source
+	parser        *http1.ResponseParser
+	up            bool
+	out           []byte
+	queued, wrote int // bytes over the connection's life
+	calls         []*call
+	heard         time.Duration
+	dialing       *loop.Timer
+	backoff       time.Duration
+	notBefore     time.Duration
+}
+
+func (k *conn) add(name string, by float64, keep time.Duration) {
+	now := k.c.loop.Now()
+	q := &call{name: name, at: now}
+	// A silent counter is not written to without bound: what can't be written was not added.
+	if len(k.calls) >= k.c.lim.CounterPending || !k.open() {
+		k.c.answered(q, admission.Unreachable, 0)
+		return
+	}
+	target := append(make([]byte, 0, 96), "/counters/"...)
+	target = append(target, name...)
+	target = append(target, "?by="...)
+	target = strconv.AppendFloat(target, by, 'f', -1, 64)
+	target = append(target, "&expire_ms="...)
+	target = strconv.AppendInt(target, max(1, int64((keep+time.Millisecond-1)/time.Millisecond)), 10)
+	before := len(k.out)
+	k.out = http1.AppendRequest(k.out, "POST", string(target), "counter", nil, nil)
+	k.queued += len(k.out) - before
+	q.end = k.queued
+	k.calls = append(k.calls, q)
+	q.timer = k.c.loop.After(k.c.lim.CounterLimit, func() { k.c.answered(q, admission.TimedOut, 0) })
+	if k.up && before == 0 {
+		k.flush()
+	}
+}
+
+// open begins to connect unless it is connected, or has failed a moment ago.
+func (k *conn) open() bool {
+	now := k.c.loop.Now()
+	if k.src != nil {
+		return true
+	}
+	if now < k.notBefore {
+		return false
+	}
+	fd, err := loop.Dial(k.c.addr)
+	if err == nil {
+		k.src, err = k.c.loop.Watch(fd, loop.Out|loop.Hangup, k)
+	}
+	if err != nil {
+		k.lost(err.Error())
+		return false
+	}
+	k.parser = http1.NewResponseParser(k.c.lim.HeadBytes, k.c.lim.BodyBytes)
+	k.up, k.out, k.queued, k.wrote, k.heard = false, k.out[:0], 0, 0, now
+	k.dialing = k.c.loop.After(k.c.lim.DialLimit, func() { k.fail("no connection in time") })
+	return true
+}
+
+// Ready goes on with what the connection was about.
+func (k *conn) Ready(events uint32) {
+	if !k.up {
+		if err := loop.Dialled(k.src.FD()); err != nil {
+			k.fail(err.Error())
+			return
+		}
+		k.up, k.backoff = true, 0
+		k.dialing.Stop()
+		k.flush()
+		return
+	}
+	if events&(loop.In|loop.Hangup) != 0 {
+		k.read()
+	}
+	if events&loop.Out != 0 && k.src != nil && len(k.out) > 0 {
+		k.flush()
+	}
+}
+
+func (k *conn) flush() {
+	n, err := loop.Write(k.src.FD(), k.out)
+	k.wrote += n
+	k.out = k.out[:copy(k.out, k.out[n:])]
+	if err != nil {
+		k.fail(err.Error())
+		return
+	}
+	if len(k.out) > 0 {
+		k.src.Want(loop.In | loop.Out | loop.Hangup)
+		return
+	}
+	k.src.Want(loop.In | loop.Hangup)
+}
+
+func (k *conn) read() {
+	buf := k.c.loop.Buf()
+	n, err := loop.Read(k.src.FD(), buf)
+	if err == loop.ErrAgain {
+		return
+	}
+	if err != nil {
+		if len(k.calls) == 0 { // it may close an idle connection
+			k.close()
+			return
+		}
+		k.fail(err.Error())
+		return
+	}
+	k.heard = k.c.loop.Now()
+	k.parser.Feed(buf[:n])
+	for {
+		resp, err := k.parser.Next()
+		if err != nil {
+			k.fail(err.Error())
+			return
+		}
+		if resp == nil {
+			return
+		}
+		if len(k.calls) == 0 {
+			k.fail("an answer nobody asked for")
+			return
+		}
+		q := k.calls[0]
+		k.calls = k.calls[1:]
+		o, total := result(resp)
+		k.c.answered(q, o, total)
+		if resp.Close {
+			k.fail("closed by the counter")
+			return
+		}
+	}
+}
+
+// result reads an answer. One that makes no sense may have been added.
+func result(r *http1.Response) (admission.Outcome, float64) {
+	switch r.Status {
+	case 200:
+		total, err := strconv.ParseFloat(string(r.Body), 64)
+		if err != nil || math.IsNaN(total) || math.IsInf(total, 0) {
+			return admission.TimedOut, 0
+		}
+		return admission.OK, total
+	case 503:
+		return admission.Full, 0
+	case 400, 404:
+		return admission.Errored, 0
+	}
+	return admission.TimedOut, 0
+}
+
+// fail ends the connection and its calls. One that was not wholly written was not added; any other may
+// have been, or may yet be, as with one that ran out of time.
+func (k *conn) fail(why string) {
+	calls, wrote := k.calls, k.wrote
+	k.close()
+	if len(calls) > 0 || !k.up {
+		k.lost(why)
+	}
+	for _, q := range calls {
+		if q.end > wrote {
+			k.c.answered(q, admission.Unreachable, 0)
+		} else {
+			k.c.answered(q, admission.TimedOut, 0)
+		}
+	}
+}
+
+func (k *conn) lost(why string) {
+	k.backoff = min(max(2*k.backoff, k.c.lim.BackoffFirst), k.c.lim.BackoffMost)
+	k.notBefore = k.c.loop.Now() + k.backoff
+	if !k.c.lost {
+		k.c.lost = true
+		k.c.log.Warn("counter connection lost", "cause", why)
+	}
+}
+
+func (k *conn) close() {
+	k.dialing.Stop()
+	k.src.Close()
+	k.src, k.calls, k.out = nil, nil, nil
+}
--- /dev/null
+++ b/internal/net/downstream/downstream.go
@@ -0,0 +1,431 @@
+// Package downstream holds the client side: listeners and client connections.
+package downstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
+)
+
+// Front is given the requests of its listener. It answers each with one [Conn.Reply], at once or later.
+type Front interface {
+	Request(c *Conn, r *http1.Request)
+	Left(c *Conn) // the client of an unanswered request has gone
+	Malformed(c *Conn, status int, what string)
+}
+
+// Server holds all client connections, of every front, and their common bound.
+type Server struct {
+	loop      *loop.Loop
+	lim       limits.Limits
+	log       *slog.Logger
+	listeners []*listener
+	conns     map[*Conn]struct{}
+	idle      list // connections between requests, longest idle first
+	paused    bool // listeners are not watched: no descriptors
+	draining  bool
+	closed    bool // no new connections
+	sweep     *loop.Timer
+}
+
+type listener struct {
+	s     *Server
+	src   *loop.Source
+	front Front
+}
+
+// New returns a server without listeners.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger) *Server {
+	s := &Server{loop: l, lim: lim, log: log, conns: map[*Conn]struct{}{}}
+	s.sweep = l.After(sweepEvery, s.sweepIdle)
+	return s
+}
+
+// sweepEvery is how often connections are checked for having been silent too long.
+const sweepEvery = 2 * time.Second
+
+// Listen opens a listener for a front.
+func (s *Server) Listen(addr string, f Front) error {
+	fd, err := loop.Listen(addr)
+	if err != nil {
+		return err
+	}
+	ln := &listener{s: s, front: f}
+	if ln.src, err = s.loop.Watch(fd, loop.In, ln); err != nil {
+		return fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	s.listeners = append(s.listeners, ln)
+	return nil
+}
+
+// Ready accepts what waits.
+func (ln *listener) Ready(uint32) {
+	s := ln.s
+	for {
+		if len(s.conns) >= s.lim.Downstream && !s.makeRoom() {
+			s.pause("all connections busy")
+			return
+		}
+		fd, err := loop.Accept(ln.src.FD())
+		switch {
+		case errors.Is(err, loop.ErrAgain):
+			return
+		case loop.OutOfDescriptors(err):
+			if !s.makeRoom() {
+				s.pause(err.Error())
+				return
+			}
+			continue
+		case err != nil:
+			s.log.Warn("accept failed", "error", err)
+			return
+		}
+		c := &Conn{s: s, front: ln.front, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes)}
+		if c.src, err = s.loop.Watch(fd, loop.In|loop.Hangup, c); err != nil {
+			s.log.Warn("accept failed", "error", err)
+			return
+		}
+		s.conns[c] = struct{}{}
+		c.setIdle()
+	}
+}
+
+// makeRoom closes the connection that has stood idle longest, which a server may do between requests.
+func (s *Server) makeRoom() bool {
+	if c := s.idle.first; c != nil && !c.parser.Begun() {
+		c.finish()
+		c.drop()
+		return true
+	}
+	return false
+}
+
+// pause leaves new connections in the kernel's queue until one of the present ones closes.
+func (s *Server) pause(why string) {
+	if s.paused {
+		return
+	}
+	s.paused = true
+	s.log.Warn("accepting paused", "connections", len(s.conns), "cause", why)
+	for _, ln := range s.listeners {
+		ln.src.Want(0)
+	}
+	s.loop.After(100*time.Millisecond, s.resume)
+}
+
+func (s *Server) resume() {
+	if s.paused && !s.closed {
+		s.paused = false
+		for _, ln := range s.listeners {
+			ln.src.Want(loop.In)
+		}
+	}
+}
+
+func (s *Server) sweepIdle() {
+	s.sweep = s.loop.After(sweepEvery, s.sweepIdle)
+	now := s.loop.Now()
+	for c := range s.conns {
+		switch {
+		case c.lingering && now-c.since > s.lim.Linger:
+			c.drop()
+		case c.busy || c.lingering:
+		case c.parser.Begun() && now-c.since > s.lim.HeadTime:
+			c.malformed(408, "request not whole in time")
+		case now-c.since > s.lim.DownstreamIdle:
+			c.finish()
+		}
+	}
+}
+
+// Drain begins the end: every answer from now on closes its connection.
+func (s *Server) Drain() { s.draining = true }
+
+// CloseListeners takes what still waits to be accepted, then takes no more, and ends idle connections.
+func (s *Server) CloseListeners() {
+	if s.closed {
+		return
+	}
+	for _, ln := range s.listeners {
+		ln.Ready(loop.In)
+	}
+	s.closed = true
+	for _, ln := range s.listeners {
+		ln.src.Close()
+	}
+	for c := range s.conns {
+		if !c.busy && !c.lingering && !c.parser.Begun() {
+			c.finish()
+		}
+	}
+}
+
+// Connections tells how many are open.
+func (s *Server) Connections() int { return len(s.conns) }
+
+// Conn is one client connection. It carries one request at a time; what a client sends ahead waits.
+type Conn struct {
+	Stream uint64 // the front's mark of the request that is being answered
+
+	s          *Server
+	src        *loop.Source
+	front      Front
+	parser     *http1.RequestParser
+	out        []byte // not written yet
+	since      time.Duration
+	busy       bool // a request awaits its answer
+	head       bool // its method is HEAD
+	last       bool // close after the present answer
+	lingering  bool // our side has ended; what still comes is read and dropped
+	parsing    bool
+	prev, next *Conn // in the list of idle ones
+	listed     bool
+}
+
+// Now is the time of this turn.
+func (c *Conn) Now() time.Duration { return c.s.loop.Now() }
+
+func (c *Conn) setIdle() {
+	c.since = c.s.loop.Now()
+	c.s.idle.push(c)
+}
+
+// Ready reads, writes, or learns that the client has gone.
+func (c *Conn) Ready(events uint32) {
+	if events&loop.Out != 0 && !c.flush() {
+		return
+	}
+	if c.lingering {
+		c.discard()
+		return
+	}
+	if events&(loop.In|loop.Hangup) != 0 {
+		c.read()
+	}
+}
+
+func (c *Conn) read() {
+	buf := c.s.loop.Buf()
+	for {
+		n, err := loop.Read(c.src.FD(), buf)
+		if errors.Is(err, loop.ErrAgain) {
+			break
+		}
+		if err != nil { // gone, whether with EOF or a reset
+			c.gone()
+			return
+		}
+		if !c.busy && !c.parser.Begun() {
+			c.since = c.s.loop.Now()
+		}
+		c.parser.Feed(buf[:n])
+		if n < len(buf) || c.parser.Buffered() > c.most() {
+			break
+		}
+	}
+	c.parse()
+}
+
+// most bounds what a client may send ahead of its answers.
+func (c *Conn) most() int { return c.s.lim.HeadBytes + c.s.lim.BodyBytes }
+
+// parse hands on the next request, and the next again if it was answered at once.
+func (c *Conn) parse() {
+	if c.parsing {
+		return
+	}
+	c.parsing = true
+	defer func() { c.parsing = false }()
+	for !c.busy && !c.lingering && c.src.FD() >= 0 {
+		req, err := c.parser.Next()
+		if err != nil {
+			status := 400
+			var pe *http1.ParseError
+			if errors.As(err, &pe) {
+				status = pe.Status
+			}
+			c.malformed(status, err.Error())
+			return
+		}
+		if req == nil {
+			if c.parser.WantsContinue() {
+				c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
+			break
+		}
+		c.busy, c.head = true, req.Method == "HEAD"
+		c.last = c.last || req.Close
+		c.s.idle.remove(c)
+		c.front.Request(c, req)
+	}
+	c.want()
+}
+
+// want watches for what can be used: no more input than is bounded, output only while some waits.
+func (c *Conn) want() {
+	if c.src.FD() < 0 {
+		return
+	}
+	events := uint32(loop.Hangup)
+	if c.lingering || c.parser.Buffered() <= c.most() {
+		events |= loop.In
+	}
+	if len(c.out) > 0 {
+		events |= loop.Out
+	}
+	c.src.Want(events)
+}
+
+func (c *Conn) malformed(status int, what string) {
+	c.busy, c.last = true, true
+	c.s.idle.remove(c)
+	c.front.Malformed(c, status, what)
+}
+
+// Reply answers the present request.
+func (c *Conn) Reply(status int, h http1.Headers, body []byte) {
+	if c.src.FD() < 0 || !c.busy {
+		return
+	}
+	c.busy, c.Stream = false, 0
+	c.last = c.last || c.s.draining
+	if !c.write(http1.AppendResponse(nil, status, h, body, c.last, c.head)) {
+		return
+	}
+	if c.last {
+		c.finish()
+		return
+	}
+	c.setIdle()
+	if c.parser.Buffered() > 0 {
+		c.parse()
+	}
+}
+
+// write sends what there is room for and keeps the rest. It tells whether the connection still stands.
+func (c *Conn) write(b []byte) bool {
+	if len(c.out) > 0 {
+		c.out = append(c.out, b...)
+		return true
+	}
+	n, err := loop.Write(c.src.FD(), b)
+	if err != nil {
+		c.gone()
+		return false
+	}
+	if n < len(b) {
+		c.out = append(c.out, b[n:]...)
+		c.want()
+	}
+	return true
+}
+
+func (c *Conn) flush() bool {
+	n, err := loop.Write(c.src.FD(), c.out)
+	if err != nil {
+		c.gone()
+		return false
+	}
+	if c.out = c.out[n:]; len(c.out) == 0 {
+		c.out = nil
+		if c.lingering {
+			c.endSending()
+		}
+	}
+	c.want()
+	return true
+}
+
+// finish ends our side once all is written. The other side is read on for a while: to close on bytes
+// not read would reset the connection and could destroy the answer on its way.
+func (c *Conn) finish() {
+	if c.lingering || c.src.FD() < 0 {
+		return
+	}
+	c.s.idle.remove(c)
+	c.lingering, c.since = true, c.s.loop.Now()
+	if len(c.out) == 0 {
+		c.endSending()
+	}
+	c.want()
+}
+
+func (c *Conn) endSending() {
+	if err := loop.EndSending(c.src.FD()); err != nil {
+		c.drop()
+	}
+}
+
+func (c *Conn) discard() {
+	buf := c.s.loop.Buf()
+	for c.src.FD() >= 0 {
+		_, err := loop.Read(c.src.FD(), buf)
+		if errors.Is(err, loop.ErrAgain) {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(c.out) > 0 {
+				c.src.Want(loop.Out) // the client has ended its side and still takes the answer
+				return
+			}
+			c.drop()
+		}
+	}
+}
+
+// gone: the client has closed.
+func (c *Conn) gone() {
+	busy := c.busy
+	c.drop()
+	if busy {
+		c.busy = false
+		c.front.Left(c)
+	}
+}
+
+func (c *Conn) drop() {
+	if c.src.FD() < 0 {
+		return
+	}
+	c.src.Close()
+	c.s.idle.remove(c)
+	delete(c.s.conns, c)
+	c.s.resume()
+}
+
+// list is a doubly linked list of connections.
+type list struct{ first, last *Conn }
+
+func (l *list) push(c *Conn) {
+	l.remove(c)
+	c.prev, c.next, c.listed = l.last, nil, true
+	if l.last != nil {
+		l.last.next = c
+	} else {
+		l.first = c
+	}
+	l.last = c
+}
+
+func (l *list) remove(c *Conn) {
+	if !c.listed {
+		return
+	}
+	if c.prev != nil {
+		c.prev.next = c.next
+	} else {
+		l.first = c.next
+	}
+	if c.next != nil {
+		c.next.prev = c.prev
+	} else {
+		l.last = c.prev
+	}
+	c.prev, c.next, c.listed = nil, nil, false
+}
--- /dev/null
+++ b/internal/net/http1/http1.go
@@ -0,0 +1,411 @@
+// Package http1 reads and writes HTTP/1.1 messages. Its parsers take bytes in any
+// split and never scan the same byte twice.
+package http1
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Header is one header field as it stood.
+type Header struct{ Name, Value string }
+
+// Headers are a message's fields in order.
+type Headers []Header
+
+// Get returns the first value of a field, "" where it is absent.
+func (h Headers) Get(name string) string {
+	for i := range h {
+		if len(h[i].Name) == len(name) && strings.EqualFold(h[i].Name, name) {
+			return h[i].Value
+		}
+	}
+	return ""
+}
+
+// hasToken tells whether a list field holds a token.
+func (h Headers) hasToken(name, token string) bool {
+	for i := range h {
+		if !strings.EqualFold(h[i].Name, name) {
+			continue
+		}
+		for t := range strings.SplitSeq(h[i].Value, ",") {
+			if strings.EqualFold(strings.TrimSpace(t), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// A ParseError says what is wrong with a message, and the status that answers it.
+type ParseError struct {
+	Status int
+	What   string
+}
+
+func (e *ParseError) Error() string { return e.What }
+
+func bad(status int, format string, args ...any) error {
+	return &ParseError{Status: status, What: fmt.Sprintf(format, args...)}
+}
+
+// Request is one whole request.
+type Request struct {
+	Method, Target string
+	Headers        Headers
+	Body           []byte // good until the parser's next call
+	Close          bool   // the client wants the connection closed after the answer
+}
+
+// Path is the target without its query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	return path
+}
+
+// Response is one whole response.
+type Response struct {
+	Status  int
+	Headers Headers
+	Body    []byte // good until the parser's next call
+	Close   bool   // the connection ends with it
+}
+
+// framing is how the end of a body is told.
+type framing int
+
+const (
+	sized framing = iota
+	chunked
+	untilClose
+)
+
+// reader holds what both parsers share: the buffer, the head and the body.
+type reader struct {
+	headMost, bodyMost int
+
+	buf     []byte
+	scanned int  // bytes of buf known to hold no end of a head, or no end of a line
+	inBody  bool // the head has been read
+	framing framing
+	left    int // of a sized body, or of the present chunk, which ends with CRLF
+	chunk   chunkState
+	body    []byte
+	trail   int // bytes of trailers
+}
+
+type chunkState int
+
+const (
+	chunkSize chunkState = iota
+	chunkData
+	chunkEnd
+	chunkTrailer
+)
+
+// Feed appends bytes that have come.
+func (r *reader) Feed(b []byte) { r.buf = append(r.buf, b...) }
+
+// Buffered tells how many bytes wait to be parsed.
+func (r *reader) Buffered() int { return len(r.buf) }
+
+// Begun tells whether part of a message has come.
+func (r *reader) Begun() bool { return r.inBody || len(r.buf) > 0 }
+
+func (r *reader) take(n int) {
+	r.buf = r.buf[:copy(r.buf, r.buf[n:])]
+	r.scanned = 0
+}
+
+// head returns the start line and the fields once all of them have come.
+func (r *reader) head() (start string, h Headers, ok bool, err error) {
+	for len(r.buf) > 0 && r.scanned == 0 && (r.buf[0] == '\r' || r.buf[0] == '\n') {
+		r.take(1) // empty lines before a message are to be passed over
+	}
+	from := max(0, r.scanned-3)
+	end, size := bytes.Index(r.buf[from:], []byte("\r\n\r\n")), 4
+	if i := bytes.Index(r.buf[from:], []byte("\n\n")); i >= 0 && (end < 0 || i < end) {
+		end, size = i, 2
+	}
+	if end < 0 {
+		r.scanned = len(r.buf)
+		if len(r.buf) > r.headMost {
+			return "", nil, false, bad(431, "head over %d bytes", r.headMost)
+		}
+		return "", nil, false, nil
+	}
+	if end += from; end > r.headMost {
+		return "", nil, false, bad(431, "head over %d bytes", r.headMost)
+	}
+	text := string(r.buf[:end])
+	r.take(end + size)
+	start, rest, _ := strings.Cut(text, "\n")
+	start = strings.TrimSuffix(start, "\r")
+	h = make(Headers, 0, 12)
+	for rest != "" {
+		var line string
+		line, rest, _ = strings.Cut(rest, "\n")
+		line = strings.TrimSuffix(line, "\r")
+		name, value, found := strings.Cut(line, ":")
+		if !found || !token(name) {
+			return "", nil, false, bad(400, "malformed header line")
+		}
+		value = strings.Trim(value, " \t")
+		if strings.ContainsAny(value, "\r\x00") {
+			return "", nil, false, bad(400, "malformed header value")
+		}
+		h = append(h, Header{name, value})
+	}
+	return start, h, true, nil
+}
+
+// token: a name with a blank before its colon, or that begins with one, is the stuff of smuggling.
+func token(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if c := s[i]; c <= ' ' || c >= 0x7f || strings.IndexByte(`()<>@,;:\"/[]?={}`, c) >= 0 {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// frame reads from the fields how the body ends. Two ways at once, or two lengths, are refused:
+// whoever else reads the message may choose the other.
+func (r *reader) frame(h Headers, closes bool) error {
+	r.inBody, r.body, r.left, r.chunk, r.trail = true, r.body[:0], 0, chunkSize, 0
+	r.framing = sized
+	length, coded := "", false
+	for i := range h {
+		switch {
+		case strings.EqualFold(h[i].Name, "Content-Length"):
+			if length != "" && length != h[i].Value {
+				return bad(400, "two lengths")
+			}
+			length = h[i].Value
+		case strings.EqualFold(h[i].Name, "Transfer-Encoding"):
+			if coded || !strings.EqualFold(h[i].Value, "chunked") {
+				return bad(400, "transfer coding %q", h[i].Value)
+			}
+			coded = true
+		}
+	}
+	switch {
+	case coded && length != "":
+		return bad(400, "a length and a transfer coding")
+	case coded:
+		r.framing = chunked
+	case length != "":
+		n, err := strconv.ParseUint(length, 10, 31)
+		if err != nil || length[0] == '+' {
+			return bad(400, "malformed length")
+		}
+		if int(n) > r.bodyMost {
+			return bad(413, "body over %d bytes", r.bodyMost)
+		}
+		r.left = int(n)
+	case closes:
+		r.framing = untilClose
+	}
+	return nil
+}
+
+// more moves what has come of the body into r.body and tells whether that was all of it.
+func (r *reader) more() (bool, error) {
+	switch r.framing {
+	case sized:
+		r.move()
+		return r.left == 0, nil
+	case untilClose:
+		r.left = len(r.buf)
+		r.move()
+		if len(r.body) > r.bodyMost {
+			return false, bad(413, "body over %d bytes", r.bodyMost)
+		}
+		return false, nil
+	}
+	for {
+		switch r.chunk {
+		case chunkData:
+			if r.move(); r.left > 0 {
+				return false, nil
+			}
+			r.chunk = chunkEnd
+		default:
+			line, ok, err := r.line()
+			if !ok || err != nil {
+				return false, err
+			}
+			switch r.chunk {
+			case chunkEnd:
+				if line != "" {
+					return false, bad(400, "malformed end of a chunk")
+				}
+				r.chunk = chunkSize
+			case chunkTrailer:
+				if r.trail += len(line); r.trail > r.headMost {
+					return false, bad(431, "trailers over %d bytes", r.headMost)
+				}
+				if line == "" {
+					return true, nil
+				}
+			case chunkSize:
+				digits, _, _ := strings.Cut(line, ";")
+				digits = strings.TrimRight(digits, " \t")
+				n, err := strconv.ParseUint(digits, 16, 31)
+				if err != nil || digits[0] == '+' {
+					return false, bad(400, "malformed size of a chunk")
+				}
+				if len(r.body)+int(n) > r.bodyMost {
+					return false, bad(413, "body over %d bytes", r.bodyMost)
+				}
+				if r.left, r.chunk = int(n), chunkData; n == 0 {
+					r.chunk = chunkTrailer
+				}
+			}
+		}
+	}
+}
+
+func (r *reader) move() {
+	n := min(r.left, len(r.buf))
+	r.body = append(r.body, r.buf[:n]...)
+	r.left -= n
+	r.take(n)
+}
+
+func (r *reader) line() (string, bool, error) {
+	i := bytes.IndexByte(r.buf[r.scanned:], '\n')
+	if i < 0 {
+		if r.scanned = len(r.buf); r.scanned > 4096 {
+			return "", false, bad(400, "line of a chunk over 4096 bytes")
+		}
+		return "", false, nil
+	}
+	line := strings.TrimSuffix(string(r.buf[:r.scanned+i]), "\r")
+	r.take(r.scanned + i + 1)
+	return line, true, nil
+}
+
+// RequestParser reads the requests of one connection.
+type RequestParser struct {
+	reader
+	req       *Request
+	continues bool
+}
+
+// NewRequestParser bounds heads and bodies.
+func NewRequestParser(headMost, bodyMost int) *RequestParser {
+	return &RequestParser{reader: reader{headMost: headMost, bodyMost: bodyMost}}
+}
+
+// Next returns the next whole request, or nil as long as there is none.
+func (p *RequestParser) Next() (*Request, error) {
+	if !p.inBody {
+		start, h, ok, err := p.head()
+		if !ok || err != nil {
+			return nil, err
+		}
+		method, rest, _ := strings.Cut(start, " ")
+		target, proto, _ := strings.Cut(rest, " ")
+		if !token(method) || target == "" || strings.ContainsAny(target, " \t") {
+			return nil, bad(400, "malformed request line")
+		}
+		if proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+			return nil, bad(400, "protocol %q", proto)
+		}
+		if err := p.frame(h, false); err != nil {
+			return nil, err
+		}
+		p.req = &Request{Method: method, Target: target, Headers: h, Close: h.hasToken("Connection", "close") ||
+			proto == "HTTP/1.0" && !h.hasToken("Connection", "keep-alive")}
+		p.continues = proto == "HTTP/1.1" && strings.EqualFold(h.Get("Expect"), "100-continue")
+	}
+	whole, err := p.more()
+	if !whole || err != nil {
+		return nil, err
+	}
+	p.inBody, p.continues = false, false
+	req := p.req
+	p.req, req.Body = nil, p.body
+	return req, nil
+}
+
+// WantsContinue tells, once for each request, that its client waits for a "100 Continue" before it
+// sends the body.
+func (p *RequestParser) WantsContinue() bool {
+	want := p.continues && p.inBody
+	p.continues = false
+	return want
+}
+
+// ResponseParser reads the responses of one connection.
+type ResponseParser struct {
+	reader
+	resp *Response
+}
+
+// NewResponseParser bounds heads and bodies.
+func NewResponseParser(headMost, bodyMost int) *ResponseParser {
+	return &ResponseParser{reader: reader{headMost: headMost, bodyMost: bodyMost}}
+}
+
+// Next returns the next whole response, or nil as long as there is none.
+func (p *ResponseParser) Next() (*Response, error) {
+	for !p.inBody {
+		start, h, ok, err := p.head()
+		if !ok || err != nil {
+			return nil, err
+		}
+		proto, rest, _ := strings.Cut(start, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		status, err := strconv.Atoi(code)
+		if err != nil || len(code) != 3 || status < 100 || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+			return nil, bad(502, "malformed status line")
+		}
+		if status < 200 { // an interim response: the real one follows
+			continue
+		}
+		if err := p.frame(h, status != 204 && status != 304); err != nil {
+			return nil, err
+		}
+		if status == 204 || status == 304 {
+			p.framing, p.left = sized, 0
+		}
+		p.resp = &Response{Status: status, Headers: h, Close: p.framing == untilClose ||
+			h.hasToken("Connection", "close") || proto == "HTTP/1.0" && !h.hasToken("Connection", "keep-alive")}
+	}
+	whole, err := p.more()
+	if !whole || err != nil {
+		return nil, err
+	}
+	return p.done(), nil
+}
+
+func (p *ResponseParser) done() *Response {
+	p.inBody = false
+	resp := p.resp
+	p.resp, resp.Body = nil, p.body
+	return resp
+}
+
+// End is told that the connection has ended; it returns the response that this completes, if any.
+func (p *ResponseParser) End() *Response {
+	if p.inBody && p.framing == untilClose {
+		return p.done()
+	}
+	return nil
+}
+
+// Partial takes what has come so far of a body that is read as it comes, and its status; 0 before
+// the head is whole.
+func (p *ResponseParser) Partial() (status int, body []byte) {
+	if p.resp == nil {
+		return 0, nil
+	}
+	body = p.body
+	p.body = nil
+	return p.resp.Status, body
+}
--- /dev/null
+++ b/internal/net/loop/loop.go
@@ -0,0 +1,210 @@
+// Package loop is the daemon's event loop: epoll, timers, and a way in for other
+// goroutines. One goroutine runs it and owns everything that it calls.
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"ferryfront.example/ferryfront/internal/timerq"
+)
+
+// What a descriptor is watched for, and what it is told.
+const (
+	In     = unix.EPOLLIN
+	Out    = unix.EPOLLOUT
+	Hangup = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+)
+
+// Handler is told what a descriptor is ready for.
+type Handler interface{ Ready(events uint32) }
+
+// Source is one watched descriptor.
+type Source struct {
+	l       *Loop
+	fd      int
+	gen     int32
+	handler Handler
+	events  uint32
+}
+
+// Timer is a function called once, unless stopped.
+type Timer struct{ fn func() }
+
+// Stop keeps a timer from firing. It is safe on nil.
+func (t *Timer) Stop() {
+	if t != nil {
+		t.fn = nil
+	}
+}
+
+// Loop gathers what is ready and calls the owners.
+type Loop struct {
+	epoll, wake int
+	sources     []*Source // by descriptor
+	gen         int32
+	ready       []unix.EpollEvent
+	timers      timerq.Queue[*Timer]
+	posted      chan func()
+	buf         []byte
+	start       time.Time
+	base, now   time.Duration
+	stopped     bool
+}
+
+// New opens a loop.
+func New() (*Loop, error) {
+	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	wake, err := unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK)
+	if err != nil {
+		return nil, fmt.Errorf("eventfd: %w", errors.Join(err, unix.Close(epoll)))
+	}
+	l := &Loop{epoll: epoll, wake: wake, ready: make([]unix.EpollEvent, 256), posted: make(chan func(), 64),
+		buf: make([]byte, 64<<10), start: time.Now()}
+	// All machines cut the counter's windows from the same time: the wall clock at the start, from
+	// then on the monotonic one, so that no step of the wall clock is ever seen.
+	l.base = time.Duration(l.start.UnixNano())
+	l.now = l.base.Truncate(time.Microsecond)
+	if _, err := l.Watch(wake, In, wakeUp{l}); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+type wakeUp struct{ l *Loop }
+
+// Ready empties the eventfd; what was posted is run by the turn itself.
+func (w wakeUp) Ready(uint32) {
+	var b [8]byte
+	_, _ = Read(w.l.wake, b[:])
+}
+
+// Now is the time of this turn: whole microseconds since the Unix epoch.
+func (l *Loop) Now() time.Duration { return l.now }
+
+func (l *Loop) tick() {
+	l.now = max(l.now, (l.base + time.Since(l.start)).Truncate(time.Microsecond))
+}
+
+// Buf is room to read into, good until the handler returns.
+func (l *Loop) Buf() []byte { return l.buf }
+
+// Watch has a handler told of a descriptor.
+func (l *Loop) Watch(fd int, events uint32, h Handler) (*Source, error) {
+	l.gen++
+	s := &Source{l: l, fd: fd, gen: l.gen, handler: h, events: events}
+	ev := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: s.gen}
+	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &ev); err != nil {
+		return nil, fmt.Errorf("watch descriptor %d: %w", fd, err)
+	}
+	for len(l.sources) <= fd {
+		l.sources = append(l.sources, nil)
+	}
+	l.sources[fd] = s
+	return s, nil
+}
+
+// Want changes what a descriptor is watched for.
+func (s *Source) Want(events uint32) {
+	if s.fd < 0 || s.events == events {
+		return
+	}
+	s.events = events
+	ev := unix.EpollEvent{Events: events, Fd: int32(s.fd), Pad: s.gen}
+	// It can fail only for a descriptor that is not watched, and this one is.
+	_ = unix.EpollCtl(s.l.epoll, unix.EPOLL_CTL_MOD, s.fd, &ev)
+}
+
+// Close closes the descriptor. Events already gathered for it reach nobody: its number may
+// serve another connection within the same turn, which the generation tells apart.
+func (s *Source) Close() {
+	if s == nil || s.fd < 0 {
+		return
+	}
+	s.l.sources[s.fd] = nil
+	_ = unix.Close(s.fd)
+	s.fd = -1
+}
+
+// FD is the descriptor, -1 once closed.
+func (s *Source) FD() int { return s.fd }
+
+// At calls fn in the first turn at or after a time.
+func (l *Loop) At(at time.Duration, fn func()) *Timer {
+	t := &Timer{fn: fn}
+	l.timers.Push(at, t)
+	return t
+}
+
+// After calls fn in the first turn so much later than this one.
+func (l *Loop) After(d time.Duration, fn func()) *Timer { return l.At(l.now+d, fn) }
+
+// Post has fn called within a turn; it is the one method for other goroutines.
+func (l *Loop) Post(fn func()) {
+	l.posted <- fn
+	one := [8]byte{1}
+	_, _ = Write(l.wake, one[:])
+}
+
+// Stop ends Run after this turn.
+func (l *Loop) Stop() { l.stopped = true }
+
+// Turner is called at the end of each turn. It tells when it next needs one: 0 for never.
+type Turner interface {
+	Turn(now time.Duration) (next time.Duration)
+}
+
+// Run takes turns until Stop: gather what is ready, tell the handlers, fire timers, then one call
+// of the Turner.
+func (l *Loop) Run(t Turner) error {
+	var next time.Duration
+	for !l.stopped {
+		n, err := unix.EpollWait(l.epoll, l.ready, l.wait(next))
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("epoll: %w", err)
+		}
+		l.tick()
+		for _, ev := range l.ready[:max(n, 0)] {
+			if s := l.sources[ev.Fd]; s != nil && s.gen == ev.Pad {
+				s.handler.Ready(ev.Events)
+			}
+		}
+		for more := true; more; {
+			select {
+			case fn := <-l.posted:
+				fn()
+			default:
+				more = false
+			}
+		}
+		for {
+			t, ok := l.timers.Pop(l.now)
+			if !ok {
+				break
+			}
+			if t.fn != nil {
+				t.fn()
+			}
+		}
+		next = t.Turn(l.now)
+	}
+	return nil
+}
+
+// wait is how long to wait for descriptors, in milliseconds.
+func (l *Loop) wait(next time.Duration) int {
+	if at, ok := l.timers.Next(); ok && (next == 0 || at < next) {
+		next = at
+	}
+	if next == 0 {
+		return -1
+	}
+	left := next - max(l.now, (l.base+time.Since(l.start)).Truncate(time.Microsecond))
+	return int(max(0, min(left+time.Millisecond-1, time.Minute)) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/net/loop/sock.go
@@ -0,0 +1,140 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+// ErrAgain tells that a descriptor has nothing to give or no room to take.
+var ErrAgain = unix.EAGAIN
+
+// Read reads what is there. A closed peer is io.EOF.
+func Read(fd int, b []byte) (int, error) {
+	for {
+		n, err := unix.Read(fd, b)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
+// Write writes what there is room for, which may be less than all, without an error.
+func Write(fd int, b []byte) (int, error) {
+	done := 0
+	for done < len(b) {
+		n, err := unix.Write(fd, b[done:])
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return done, nil
+		case err != nil:
+			return done, err
+		default:
+			done += n
+		}
+	}
+	return done, nil
+}
+
+func address(addr string) (unix.Sockaddr, int, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, 0, fmt.Errorf("address %q: %w", addr, err)
+	}
+	if ip := ap.Addr().Unmap(); ip.Is4() {
+		return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: ip.As4()}, unix.AF_INET, nil
+	}
+	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
+}
+
+func socket(family int) (int, error) {
+	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+}
+
+// Listen opens a listening socket.
+func Listen(addr string) (int, error) {
+	sa, family, err := address(addr)
+	if err != nil {
+		return -1, err
+	}
+	fd, err := socket(family)
+	if err != nil {
+		return -1, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	for _, step := range []func() error{
+		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
+		func() error { return unix.Bind(fd, sa) },
+		func() error { return unix.Listen(fd, 1024) },
+	} {
+		if err := step(); err != nil {
+			return -1, fmt.Errorf("listen on %s: %w", addr, errors.Join(err, unix.Close(fd)))
+		}
+	}
+	return fd, nil
+}
+
+// Accept takes one waiting connection; ErrAgain when there is none.
+func Accept(fd int) (int, error) {
+	for {
+		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
+			continue
+		}
+		if err == nil {
+			noDelay(c)
+		}
+		return c, err
+	}
+}
+
+// noDelay: answers are written whole, so waiting for more would only hold them up.
+func noDelay(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) }
+
+// Dial begins to connect; the descriptor is writable once it is up or has failed.
+func Dial(addr string) (int, error) {
+	sa, family, err := address(addr)
+	if err != nil {
+		return -1, err
+	}
+	fd, err := socket(family)
+	if err != nil {
+		return -1, fmt.Errorf("dial %s: %w", addr, err)
+	}
+	noDelay(fd)
+	err = unix.Connect(fd, sa)
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) && !errors.Is(err, unix.EINTR) {
+		return -1, fmt.Errorf("dial %s: %w", addr, errors.Join(err, unix.Close(fd)))
+	}
+	return fd, nil
+}
+
+// Dialled tells, once the descriptor is writable, whether it is up.
+func Dialled(fd int) error {
+	code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
+	if err != nil {
+		return err
+	}
+	if code != 0 {
+		return unix.Errno(code)
+	}
+	return nil
+}
+
+// EndSending tells the peer that nothing more comes, and leaves what it sends readable.
+func EndSending(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) }
+
+// OutOfDescriptors tells whether an error is for want of descriptors or memory for them.
+func OutOfDescriptors(err error) bool {
+	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
+		errors.Is(err, unix.ENOMEM)
+}
--- /dev/null
+++ b/internal/net/upstream/upstream.go
@@ -0,0 +1,363 @@
+// Package upstream holds the connections to upstream hosts and carries out upstream
+// requests on them, one at a time on each.
+package upstream
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
+)
+
+// Message is what goes to an upstream host as it came.
+type Message struct {
+	Method, Target string
+	Headers        http1.Headers // those that pass on
+	Body           []byte
+}
+
+// Sink is told how upstream requests end.
+type Sink interface {
+	UpstreamEnded(now time.Duration, ref core.Ref, o admission.Outcome, a core.Answer)
+	ProbeEnded(now time.Duration, ref core.Ref, o admission.Outcome)
+}
+
+// Pool holds the connections of all upstream hosts.
+type Pool struct {
+	loop  *loop.Loop
+	lim   limits.Limits
+	log   *slog.Logger
+	sink  Sink
+	hosts map[string]*host
+	out   map[core.Ref]*conn
+	conns int
+}
+
+// host is one upstream host. Its idle connections are used last in, first out: the few that are in
+// use stay warm, the others grow old and are dropped.
+type host struct {
+	name, addr string
+	idle       []*conn
+}
+
+// New returns a pool that knows no hosts. SetSink must follow before the first request.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger) *Pool {
+	p := &Pool{loop: l, lim: lim, log: log, hosts: map[string]*host{}, out: map[core.Ref]*conn{}}
+	l.After(sweepEvery, p.sweep)
+	return p
+}
+
+// SetSink names who is told of outcomes.
+func (p *Pool) SetSink(s Sink) { p.sink = s }
+
+// sweepEvery is how often idle connections are looked through.
+const sweepEvery = 500 * time.Millisecond
+
+// sweep drops connections before the other side would: a request written as it closes is a reset,
+// and may have run.
+func (p *Pool) sweep() {
+	p.loop.After(sweepEvery, p.sweep)
+	now := p.loop.Now()
+	for _, h := range p.hosts {
+		old := 0
+		for old < len(h.idle) && now-h.idle[old].since+sweepEvery >= p.lim.UpstreamIdle {
+			old++
+		}
+		for _, c := range append([]*conn(nil), h.idle[:old]...) {
+			c.close()
+		}
+	}
+}
+
+// Host enters an upstream host or its new address.
+func (p *Pool) Host(name, addr string) {
+	h := p.hosts[name]
+	if h == nil {
+		p.hosts[name] = &host{name: name, addr: addr}
+		return
+	}
+	if h.addr != addr {
+		h.addr = addr
+		p.CloseIdle(name)
+	}
+}
+
+// Gone drops a host. What is out on it goes on.
+func (p *Pool) Gone(name string) {
+	p.CloseIdle(name)
+	delete(p.hosts, name)
+}
+
+// CloseIdle closes a host's idle connections.
+func (p *Pool) CloseIdle(name string) {
+	if h := p.hosts[name]; h != nil {
+		for len(h.idle) > 0 {
+			h.idle[len(h.idle)-1].close()
+		}
+	}
+}
+
+// Connections tells how many are open.
+func (p *Pool) Connections() int { return p.conns }
+
+// conn is one connection.
+type conn struct {
+	p       *Pool
+	h       *host
+	src     *loop.Source
+	parser  *http1.ResponseParser
+	up      bool
+	busy    bool
+	probe   bool
+	ref     core.Ref
+	out     []byte // of the request, not written yet
+	since   time.Duration
+	dialing *loop.Timer
+}
+
+// Start sends a request to a host.
+func (p *Pool) Start(ref core.Ref, name string, payload core.Payload, wait time.Duration) {
+	m, ok := payload.(*Message)
+	if !ok {
+		p.log.Error("upstream request without a message", "host", name)
+		p.sink.UpstreamEnded(p.loop.Now(), ref, admission.NotSent, core.Answer{})
+		return
+	}
+	p.start(ref, name, m, wait, false)
+}
+
+// Probe asks a host whether it is alive.
+func (p *Pool) Probe(ref core.Ref, name string, wait time.Duration) {
+	p.start(ref, name, &Message{Method: "GET", Target: "/alive"}, wait, true)
+}
+
+func (p *Pool) start(ref core.Ref, name string, m *Message, wait time.Duration, probe bool) {
+	h := p.hosts[name]
+	if h == nil {
+		p.ended(ref, probe, admission.Unreachable, core.Answer{})
+		return
+	}
+	b := make([]byte, 0, 512+len(m.Body))
+	headers := m.Headers
+	if !probe {
+		headers = append(headers[:len(headers):len(headers)],
+			http1.Header{Name: "Request-Timeout", Value: strconv.FormatInt(max(1, wait.Milliseconds()), 10) + "m"})
+	}
+	b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
+	if n := len(h.idle); n > 0 {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		c.begin(ref, probe, b)
+		c.flush()
+		return
+	}
+	c, err := p.dial(h)
+	if err != nil {
+		p.log.Warn("upstream connection not opened", "host", name, "error", err)
+		p.ended(ref, probe, admission.Unreachable, core.Answer{})
+		return
+	}
+	c.begin(ref, probe, b)
+}
+
+var errFull = errors.New("all upstream connections in use")
+
+func (p *Pool) dial(h *host) (*conn, error) {
+	if p.conns >= p.lim.Upstream && !p.makeRoom() {
+		return nil, errFull
+	}
+	fd, err := loop.Dial(h.addr)
+	if err != nil && loop.OutOfDescriptors(err) && p.makeRoom() {
+		fd, err = loop.Dial(h.addr)
+	}
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{p: p, h: h, parser: http1.NewResponseParser(p.lim.HeadBytes, p.lim.BodyBytes)}
+	if c.src, err = p.loop.Watch(fd, loop.Out|loop.Hangup, c); err != nil {
+		return nil, err
+	}
+	p.conns++
+	c.dialing = p.loop.After(p.lim.DialLimit, func() { c.fail(io.ErrNoProgress) })
+	return c, nil
+}
+
+// makeRoom closes the connection that has been idle longest.
+func (p *Pool) makeRoom() bool {
+	var oldest *conn
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since < oldest.since) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
+// Cancel gives up a request by closing its connection: whatever comes of it reaches nobody.
+func (p *Pool) Cancel(ref core.Ref) {
+	if c := p.out[ref]; c != nil {
+		c.busy = false
+		delete(p.out, ref)
+		c.close()
+	}
+}
+
+func (p *Pool) ended(ref core.Ref, probe bool, o admission.Outcome, a core.Answer) {
+	if probe {
+		p.sink.ProbeEnded(p.loop.Now(), ref, o)
+		return
+	}
+	p.sink.UpstreamEnded(p.loop.Now(), ref, o, a)
+}
+
+func (c *conn) begin(ref core.Ref, probe bool, b []byte) {
+	c.busy, c.ref, c.probe, c.out = true, ref, probe, b
+	c.p.out[ref] = c
+}
+
+// Ready goes on with what the connection was about.
+func (c *conn) Ready(events uint32) {
+	if !c.up {
+		if events&(loop.Out|loop.Hangup) == 0 {
+			return
+		}
+		if err := loop.Dialled(c.src.FD()); err != nil {
+			c.fail(err)
+			return
+		}
+		c.up = true
+		c.dialing.Stop()
+		c.flush()
+		return
+	}
+	if events&(loop.In|loop.Hangup) != 0 {
+		c.read()
+	}
+	if events&loop.Out != 0 && c.src.FD() >= 0 && len(c.out) > 0 {
+		c.flush()
+	}
+}
+
+func (c *conn) flush() {
+	n, err := loop.Write(c.src.FD(), c.out)
+	c.out = c.out[n:]
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	if len(c.out) > 0 {
+		c.src.Want(loop.In | loop.Out | loop.Hangup)
+		return
+	}
+	c.out = nil
+	c.src.Want(loop.In | loop.Hangup)
+}
+
+func (c *conn) read() {
+	buf := c.p.loop.Buf()
+	for {
+		n, err := loop.Read(c.src.FD(), buf)
+		if errors.Is(err, loop.ErrAgain) {
+			return
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && c.busy && len(c.out) == 0 {
+				if resp := c.parser.End(); resp != nil {
+					c.answer(resp)
+					return
+				}
+			}
+			c.fail(err)
+			return
+		}
+		if !c.busy { // bytes that nobody asked for
+			c.close()
+			return
+		}
+		c.parser.Feed(buf[:n])
+		resp, err := c.parser.Next()
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if resp != nil {
+			c.answer(resp)
+			return
+		}
+		if n < len(buf) {
+			return
+		}
+	}
+}
+
+// answer takes a whole response. An answer that came before its request was whole, or with more
+// behind it, leaves a connection that can't be trusted with the next one.
+func (c *conn) answer(resp *http1.Response) {
+	ref, probe := c.ref, c.probe
+	c.busy = false
+	delete(c.p.out, ref)
+	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type")}
+	if resp.Close || len(c.out) > 0 || c.parser.Buffered() > 0 {
+		c.close()
+	} else {
+		c.since = c.p.loop.Now()
+		if c.p.hosts[c.h.name] == c.h {
+			c.h.idle = append(c.h.idle, c)
+		} else {
+			c.close()
+		}
+	}
+	c.p.ended(ref, probe, outcome(resp), answer)
+}
+
+// outcome tells what a response says of its request.
+func outcome(r *http1.Response) admission.Outcome {
+	switch {
+	case r.Status == 200:
+		return admission.OK
+	case (r.Status == 503 || r.Status == 504) && r.Headers.Get("Not-Started") == "1":
+		return admission.Full
+	}
+	return admission.Errored
+}
+
+// fail ends the connection and what was out on it. Before the last byte of a request was written
+// it can't have run; after that it may have.
+func (c *conn) fail(error) {
+	o := admission.Broken
+	if !c.up || len(c.out) > 0 {
+		o = admission.Unreachable
+	}
+	busy := c.busy
+	c.busy = false
+	c.close()
+	if busy {
+		delete(c.p.out, c.ref)
+		c.p.ended(c.ref, c.probe, o, core.Answer{})
+	}
+}
+
+func (c *conn) close() {
+	if c.src.FD() < 0 {
+		return
+	}
+	c.dialing.Stop()
+	c.src.Close()
+	c.p.conns--
+	for i, o := range c.h.idle {
+		if o == c {
+			c.h.idle = append(c.h.idle[:i], c.h.idle[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,243 @@
+// Package settings reads the settings of an instance, as the simulator's first
+// message and the daemon's configuration both hold them, into the decision
+// module's own type. It translates names and units and decides nothing.
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/valyala/fastjson"
+
+	"ferryfront.example/ferryfront/admission"
+)
+
+// longest is the largest time a field may hold, in milliseconds: a hundred years.
+const longest = 100 * 365 * 24 * 3600 * 1e3
+
+var (
+	effects = map[string]admission.Effect{
+		"retryable": admission.Safe, "dedup": admission.Keyed, "fragile": admission.Unsafe,
+	}
+	groups = map[string]admission.Scope{
+		"all": admission.ScopeAll, "": admission.ScopeAll, "zone": admission.ScopeZone, "cell": admission.ScopeCell,
+	}
+	// reports gives the fields of a load report their usual names.
+	reports = map[string]string{
+		"active": "inflight", "waiting": "queued", "cpu": "utilization", "avg_ms": "latency_ms",
+		"rps": "rate", "err_rps": "errors",
+	}
+)
+
+// Reader takes typed fields out of a JSON object and keeps the first thing that is
+// wrong, with the field's full name.
+type Reader struct {
+	v    *fastjson.Value
+	path string
+	err  *error
+}
+
+// NewReader reads the fields of v, an object that messages call path.
+func NewReader(v *fastjson.Value, path string) Reader {
+	r := Reader{v: v, path: path, err: new(error)}
+	if v == nil || v.Type() != fastjson.TypeObject {
+		r.fail("", "is missing or no object")
+	}
+	return r
+}
+
+// Err is the first thing that was wrong.
+func (r Reader) Err() error { return *r.err }
+
+func (r Reader) name(key string) string {
+	if key == "" || r.path == "" {
+		return r.path + key
+	}
+	return r.path + "." + key
+}
+
+func (r Reader) fail(key, format string, args ...any) {
+	if *r.err == nil {
+		*r.err = fmt.Errorf("%s %s", r.name(key), fmt.Sprintf(format, args...))
+	}
+}
+
+// get returns a field, nil where it is absent or null.
+func (r Reader) get(key string) *fastjson.Value {
+	if r.v == nil {
+		return nil
+	}
+	if v := r.v.Get(key); v != nil && v.Type() != fastjson.TypeNull {
+		return v
+	}
+	return nil
+}
+
+// Need notes it as an error if one of the fields is absent.
+func (r Reader) Need(keys ...string) {
+	for _, k := range keys {
+		if r.get(k) == nil {
+			r.fail(k, "is missing")
+		}
+	}
+}
+
+// Float reads a number; absent is 0.
+func (r Reader) Float(key string) float64 {
+	v := r.get(key)
+	if v == nil {
+		return 0
+	}
+	f, err := v.Float64()
+	if err != nil || math.IsInf(f, 0) || math.IsNaN(f) {
+		r.fail(key, "is no number")
+	}
+	return f
+}
+
+// Int reads a whole number; absent is 0.
+func (r Reader) Int(key string) int {
+	f := r.Float(key)
+	if f != math.Trunc(f) || math.Abs(f) > 1<<53 {
+		r.fail(key, "is no whole number")
+		return 0
+	}
+	return int(f)
+}
+
+// Millis reads a time in milliseconds, to the microsecond; absent is 0.
+func (r Reader) Millis(key string) time.Duration {
+	f := r.Float(key)
+	if math.Abs(f) > longest {
+		r.fail(key, "is not a time in milliseconds")
+		return 0
+	}
+	return time.Duration(math.Round(f*1e3)) * time.Microsecond
+}
+
+// Bool reads a flag; absent is false.
+func (r Reader) Bool(key string) bool {
+	v := r.get(key)
+	if v == nil {
+		return false
+	}
+	b, err := v.Bool()
+	if err != nil {
+		r.fail(key, "is neither true nor false")
+	}
+	return b
+}
+
+// Text reads a string; absent is empty.
+func (r Reader) Text(key string) string {
+	v := r.get(key)
+	if v == nil {
+		return ""
+	}
+	b, err := v.StringBytes()
+	if err != nil {
+		r.fail(key, "is no text")
+	}
+	return string(b)
+}
+
+// Object reads the fields of an object; those of an absent one are all absent.
+func (r Reader) Object(key string) Reader {
+	v := r.get(key)
+	if v != nil && v.Type() != fastjson.TypeObject {
+		r.fail(key, "is no object")
+		v = nil
+	}
+	return Reader{v: v, path: r.name(key), err: r.err}
+}
+
+// List reads the objects of an array; absent is empty.
+func (r Reader) List(key string) []Reader {
+	var list []Reader
+	for i, v := range r.array(key) {
+		e := Reader{v: v, path: fmt.Sprintf("%s[%d]", r.name(key), i), err: r.err}
+		if v.Type() != fastjson.TypeObject {
+			e.fail("", "is no object")
+			e.v = nil
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+func (r Reader) array(key string) []*fastjson.Value {
+	v := r.get(key)
+	if v == nil {
+		return nil
+	}
+	a, err := v.Array()
+	if err != nil {
+		r.fail(key, "is no list")
+	}
+	return a
+}
+
+// Parse reads settings from their JSON text.
+func Parse(raw []byte) (admission.Settings, error) {
+	v, err := fastjson.ParseBytes(raw)
+	if err != nil {
+		return admission.Settings{}, fmt.Errorf("params: %w", err)
+	}
+	return Read(NewReader(v, "params"))
+}
+
+// Read reads settings from an object of a larger document.
+func Read(p Reader) (admission.Settings, error) {
+	p.Need("balancers", "me", "period", "limits", "rules")
+	limits, rules, extra, stats := p.Object("limits"), p.Object("rules"), p.Object("extra"), p.Object("stats")
+	discovery := p.Text("discovery")
+	if discovery != "push" && discovery != "ask" {
+		p.fail("discovery", "is neither push nor ask: %q", discovery)
+	}
+	s := admission.Settings{
+		Gateways: p.Int("balancers"), Me: p.Int("me"), Zone: p.Text("zone"), Tick: p.Millis("period"),
+		MustAsk: discovery == "ask", HasCounter: extra.Bool("hasCounter"), Settles: extra.Bool("settles"),
+		CounterLimit: extra.Millis("counterTimeout"), MaxUnits: extra.Int("maxUnits"),
+		MaxAttempts: limits.Int("maxAttempts"), MaxRetryAfter: limits.Millis("maxRetryAfter"),
+		RetryAfter: limits.Bool("retryAfter"), CanCancel: limits.Bool("cancelling"),
+		CanProbe: limits.Bool("probes"), CanTell: limits.Bool("mayTell"),
+		SecondCopies: limits.Bool("parallelTries"), DialLimit: limits.Millis("dialTimeout"),
+		ReportsOnAns: stats.Text("how") == "answers", AnswerSlack: rules.Millis("answerSlack"),
+		AskWithin: rules.Millis("askWithin"), DrainGrace: rules.Millis("drainGrace"),
+		ColdFor: rules.Millis("cold"), ColdFrom: rules.Float("coldFrom"),
+		TipMultiple: rules.Float("tipMultiple"), TipTime: rules.Millis("fall"),
+		CrossZone: p.Object("prices").Float("crossZone"),
+	}
+	for _, n := range stats.array("names") {
+		b, err := n.StringBytes()
+		if err != nil {
+			stats.fail("names", "holds what is no text")
+		}
+		s.ReportNames = append(s.ReportNames, cmp.Or(reports[string(b)], string(b)))
+	}
+	for _, c := range p.List("classes") {
+		effect, ok := effects[c.Text("effect")]
+		if !ok {
+			c.fail("effect", "is not known: %q", c.Text("effect"))
+		}
+		group, ok := groups[c.Text("dedupScope")]
+		if !ok {
+			c.fail("dedupScope", "is not known: %q", c.Text("dedupScope"))
+		}
+		s.Classes = append(s.Classes, admission.Class{Name: c.Text("name"), Aim: c.Millis("onTime"),
+			Deadline: c.Millis("deadline"), Worth: c.Float("value"), LateShare: c.Float("lateShare"),
+			Effect: effect, Scope: group, RepeatWindow: c.Millis("repeatWindow"), Stream: c.Bool("stream")})
+	}
+	for _, t := range p.List("tiersOfService") {
+		s.Plans = append(s.Plans, admission.Plan{Name: t.Text("name"), Rate: t.Float("quotaRate"),
+			Burst: t.Float("storeSize"), AtOnce: t.Int("atOnce"), Price: t.Float("valueFactor"),
+			OverWorth: t.Float("overWorth"), OverCost: t.Float("overrunCost"), CeilingRate: t.Float("hardRate"),
+			CeilingBurst: t.Float("neverOverDepth"), CeilingSlack: t.Float("hardSlack")})
+	}
+	if err := p.Err(); err != nil {
+		return admission.Settings{}, err
+	}
+	return s, nil
+}
--- a/internal/simwire/decode.go
+++ b/internal/simwire/decode.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/settings"
 )
 
 // Kind tells what a line is.
@@ -78,36 +79,36 @@
 
 // wireEvent holds the fields of every event; a pointer is a field that must be there.
 type wireEvent struct {
-	Gatekeeper  *int         `json:"gatekeeper"`
-	Nonce64     *json.Number `json:"nonce64"`
-	Params      *wireParams  `json:"params"`
-	Scope       string       `json:"scope"`
-	Version     uint64       `json:"version"`
-	MembersList []wireEntry  `json:"membersList"`
-	Rid         *uint32      `json:"rid"`
-	Type        string       `json:"type"`
-	Plan        string       `json:"plan"`
-	Account     uint64       `json:"account"`
-	ExpiresIn   *ms          `json:"expiresIn"`
-	PriceUnits  int          `json:"priceUnits"`
-	Doors       int          `json:"doors"`
-	FirstDoor   int          `json:"firstDoor"`
-	IsRetry     bool         `json:"isRetry"`
-	Write       bool         `json:"write"`
-	Shot        int          `json:"shot"`
-	Worker      string       `json:"worker"`
-	Took        ms           `json:"took"`
-	SeenUse     int          `json:"seenUse"`
-	Billed      int          `json:"billed"`
-	Ending      string       `json:"ending"`
-	Ended       bool         `json:"ended"`
-	Pressure    []float64    `json:"pressure"`
-	Nonce       string       `json:"nonce"`
-	Src         int          `json:"src"`
-	Payload     string       `json:"payload"`
-	Total       float64      `json:"total"`
-	EntryName   string       `json:"entryName"`
-	AtTime      *ms          `json:"atTime"`
+	Gatekeeper  *int            `json:"gatekeeper"`
+	Nonce64     *json.Number    `json:"nonce64"`
+	Params      json.RawMessage `json:"params"`
+	Scope       string          `json:"scope"`
+	Version     uint64          `json:"version"`
+	MembersList []wireEntry     `json:"membersList"`
+	Rid         *uint32         `json:"rid"`
+	Type        string          `json:"type"`
+	Plan        string          `json:"plan"`
+	Account     uint64          `json:"account"`
+	ExpiresIn   *ms             `json:"expiresIn"`
+	PriceUnits  int             `json:"priceUnits"`
+	Doors       int             `json:"doors"`
+	FirstDoor   int             `json:"firstDoor"`
+	IsRetry     bool            `json:"isRetry"`
+	Write       bool            `json:"write"`
+	Shot        int             `json:"shot"`
+	Worker      string          `json:"worker"`
+	Took        ms              `json:"took"`
+	SeenUse     int             `json:"seenUse"`
+	Billed      int             `json:"billed"`
+	Ending      string          `json:"ending"`
+	Ended       bool            `json:"ended"`
+	Pressure    []float64       `json:"pressure"`
+	Nonce       string          `json:"nonce"`
+	Src         int             `json:"src"`
+	Payload     string          `json:"payload"`
+	Total       float64         `json:"total"`
+	EntryName   string          `json:"entryName"`
+	AtTime      *ms             `json:"atTime"`
 }
 
 var endings = map[string]admission.Outcome{
@@ -177,10 +178,10 @@
 				return Line{}, err
 			}
 		}
-		if ev.Params == nil {
+		if len(ev.Params) == 0 {
 			return Line{}, errors.New("params is missing")
 		}
-		if line.Settings, err = ev.Params.settings(); err != nil {
+		if line.Settings, err = settings.Parse(ev.Params); err != nil {
 			return Line{}, err
 		}
 		d.remember(line.Instance, &line.Settings)
