Add the OpenAPI front, OTLP export, and tests that start the real program

Routes from a description and routes by hand compile to one table; reload swaps it between turns. Telemetry runs outside the loop, drops and counts.

A test stand-in that waited on its request's context hung the suite for ten minutes: the context does not end while another request is written behind the first. It waits on the end of the test instead.

--- a/cmd/ferryfront/main.go
+++ b/cmd/ferryfront/main.go
@@ -28,6 +28,7 @@
 	}
 	commands := map[string]func(*flag.FlagSet, []string, func(string) string, io.Writer, io.Writer) error{
 		"serve": serve, "check-config": checkConfig, "version": printVersion,
+		"routes": listRoutes,
 	}
 	command, ok := commands[args[0]]
 	if !ok {
--- /dev/null
+++ b/cmd/ferryfront/process_test.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRequestsAndAnswersPassVerbatim(t *testing.T) {
+	w := newWorld(t)
+	big := strings.Repeat("x", 64<<10)
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		w.echo(rw, r)
+		rw.(http.Flusher).Flush() // so the answer is chunked
+		fmt.Fprint(rw, big[:60<<10])
+	}
+	w.start()
+	got := w.get(w.request("POST", "/api/x%2Fy/00000000b4d65521?a=%20&&b", "order", strings.NewReader(big)))
+	want := "POST /api/x%2Fy/00000000b4d65521?a=%20&&b id=r1 key=k1 body=65536"
+	require.Equal(t, 200, got.status)
+	require.Equal(t, want+big[:60<<10], got.body)
+	require.Equal(t, []string{want}, w.noted())
+}
+
+func TestBytesInAnySplitAndRequestsAhead(t *testing.T) {
+	w := newWorld(t).start()
+	text := ""
+	for _, id := range []string{"a", "b", "c"} {
+		text += "GET /api/1?" + id + " HTTP/1.1\r\nRequest-Id: " + id + "\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n"
+	}
+	c := w.raw("")
+	for i := range text {
+		_, err := c.Write([]byte{text[i]})
+		require.NoError(t, err)
+	}
+	r := bufio.NewReader(c)
+	for _, id := range []string{"a", "b", "c"} {
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, "GET /api/1?"+id+" id="+id+" key= body=0", string(body))
+	}
+}
+
+func TestLocalRepliesAreNoRefusals(t *testing.T) {
+	w := newWorld(t).start()
+	for _, c := range []struct {
+		status  int
+		request *http.Request
+	}{
+		{404, w.request("GET", "/else", "stock", nil)},
+		{405, w.request("DELETE", "", "stock", nil)},
+		{400, w.request("GET", "", "none", nil)},
+		{400, w.request("GET", "", "stock", nil, "X-Plan", "none")},
+		{400, w.request("GET", "", "stock", nil, "Request-Id", "")},
+		{400, w.request("GET", "", "stock", nil, "Request-Timeout", "soon")},
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=many")},
+		{400, w.request("GET", "/api/nobody", "stock", nil)},
+		{400, w.request("POST", "", "order", nil, "Idempotency-Key", "")},
+		{413, w.request("POST", "", "order", strings.NewReader(strings.Repeat("x", 64<<10+1)))},
+		{431, w.request("GET", "", "stock", nil, "X-Long", strings.Repeat("x", 20<<10))},
+	} {
+		require.Equal(t, c.status, w.get(c.request).status, c.request)
+	}
+	require.Empty(t, w.noted())
+}
+
+// Beyond its quota a customer is refused at once and told when to come back, whatever the settings say
+// of retry-after; others go on.
+func TestQuota(t *testing.T) {
+	w := newWorld(t).start()
+	for i := range 6 {
+		got := w.get(w.request("GET", "/api/7", "stock", nil, "X-Plan", "small"))
+		if i < 3 {
+			require.Equal(t, 200, got.status, "request %d", i)
+			continue
+		}
+		require.Equal(t, 429, got.status, "request %d", i)
+		require.Regexp(t, `^\d+(\.\d+)?$`, got.header.Get("Retry-After"))
+	}
+	require.Equal(t, 200, w.get(w.request("GET", "/api/8", "stock", nil, "X-Plan", "small")).status)
+	require.Len(t, w.noted(), 4)
+}
+
+// Whatever the counter does, requests are decided: by the daemon's own part of the quota.
+func TestCounterInTrouble(t *testing.T) {
+	for name, counter := range map[string]http.HandlerFunc{
+		"silent":  nil,
+		"refuses": func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(503) },
+		"garbled": func(rw http.ResponseWriter, _ *http.Request) { fmt.Fprint(rw, "NaN") },
+		"breaks":  func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.counter = counter
+			if counter == nil { // the request's own context does not end while another is written behind it
+				w.counter = func(http.ResponseWriter, *http.Request) { <-w.over }
+			}
+			w.start()
+			for range 20 {
+				require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+			}
+		})
+	}
+}
+
+// What may have run is repeated only as its class permits, and never refused; what can't have run is
+// tried elsewhere.
+func TestUpstreamHostInTrouble(t *testing.T) {
+	hang := func(rw http.ResponseWriter) net.Conn {
+		c, _, err := rw.(http.Hijacker).Hijack()
+		require.NoError(t, err)
+		return c
+	}
+	for name, c := range map[string]struct {
+		bad       http.HandlerFunc
+		elsewhere bool // an order may be tried at another host, which is of another cell
+	}{
+		"error":   {func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(500) }, false},
+		"breaks":  {func(rw http.ResponseWriter, _ *http.Request) { hang(rw).Close() }, false},
+		"garbled": {func(rw http.ResponseWriter, _ *http.Request) { c := hang(rw); fmt.Fprint(c, "no\r\n\r\n"); c.Close() }, false},
+		"cut": {func(rw http.ResponseWriter, _ *http.Request) {
+			c := hang(rw)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut")
+			c.Close()
+		}, false},
+		"full": {func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Not-Started", "1")
+			rw.WriteHeader(503)
+		}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.hosts["h1"] = c.bad
+			w.start()
+			for range 5 {
+				got := w.get(w.request("POST", "", "order", strings.NewReader("{}")))
+				if c.elsewhere {
+					require.Contains(t, []int{429, 503}, got.status)
+				} else {
+					require.Contains(t, []int{502, 504}, got.status, "it may have run, and is not refused")
+				}
+			}
+			require.NotEqual(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+		})
+	}
+}
+
+// An upstream request that is out when its client has had enough, or has gone, ends by closing its connection.
+func TestNoAnswerInTimeAndClientThatLeaves(t *testing.T) {
+	w := newWorld(t)
+	gone := make(chan string, 8)
+	w.hosts["h1"] = func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		w.note(r.Header.Get("Request-Id"))
+		<-r.Context().Done()
+		gone <- r.Header.Get("Request-Id")
+	}
+	w.start()
+	got := w.get(w.request("POST", "", "order", strings.NewReader("{}"), "Request-Timeout", "300000u"))
+	require.Contains(t, []int{502, 504}, got.status)
+	require.Equal(t, "r1", <-gone)
+	c := w.raw("GET /api/5 HTTP/1.1\r\nRequest-Id: r2\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n")
+	w.until(func() bool { return strings.Contains(strings.Join(w.noted(), " "), "r2") })
+	require.NoError(t, c.Close())
+	require.Equal(t, "r2", <-gone)
+}
+
+// An idle upstream connection is dropped before the other side closes it: what is written to it from then
+// on may have run, or may not.
+func TestIdleUpstreamConnectionsAreDropped(t *testing.T) {
+	w := newWorld(t)
+	w.change = func(_, settings map[string]any) { settings["limits"].(obj)["idleClose"] = 800 }
+	w.start()
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+	w.until(func() bool { return w.closed("h1") == 1 })
+}
+
+func TestDiscovery(t *testing.T) {
+	w := newWorld(t)
+	other := w.serve(func(rw http.ResponseWriter, r *http.Request) { fmt.Fprint(rw, "h2") })
+	w.unknown = true
+	w.start()
+	ask := func() string { return w.get(w.request("GET", "", "stock", nil)).body }
+	require.Contains(t, ask(), "GET")
+	w.news <- line(6, false, entry("h1", "127.0.0.1:9", "Terminating"), entry("h2", other, "Ready"))
+	w.until(func() bool { return ask() == "h2" })
+	require.Equal(t, "h2", ask(), "nothing new to a host that drains")
+	w.news <- "\n{\"version\":\"what\n" // what can't be read must not end the daemon; the whole list is asked for again
+	w.until(func() bool { return strings.HasPrefix(ask(), "GET") })
+	w.news <- line(9, true, entry("h2", other, "Ready"))
+	w.until(func() bool { return ask() == "h2" })
+	require.Contains(t, w.log.String(), "discovery watch lost")
+}
+
+func TestReadyThoughDiscoveryIsSilent(t *testing.T) {
+	w := newWorld(t)
+	w.mute = true
+	w.start()
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+}
+
+// At a planned end whatever was taken is answered, what still comes for a while, too, and nobody is
+// invited to stay.
+func TestDrain(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan struct{})
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/api/1" {
+			w.note("waits")
+			<-release
+		}
+		w.echo(rw, r)
+	}
+	w.start()
+	idle := w.raw("GET /up HTTP/1.1\r\n\r\n")
+	kept := bufio.NewReader(idle)
+	resp, err := http.ReadResponse(kept, nil)
+	require.NoError(t, err)
+	require.False(t, resp.Close)
+	answers := make(chan reply, 1)
+	r := w.request("GET", "/api/1", "stock", nil)
+	go func() {
+		got, err := w.do(r)
+		if err != nil {
+			got.body = err.Error()
+		}
+		answers <- got
+	}()
+	w.until(func() bool { return len(w.noted()) > 0 })
+	w.signal(syscall.SIGTERM)
+	w.until(func() bool { return strings.Contains(w.log.String(), "draining") })
+	late := w.raw("GET /api/2 HTTP/1.1\r\nRequest-Id: r\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n")
+	resp, err = http.ReadResponse(bufio.NewReader(late), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.True(t, resp.Close)
+	_, err = kept.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "an idle connection is ended, not reset")
+	close(release)
+	require.Equal(t, 200, (<-answers).status)
+	require.Zero(t, w.ends())
+	require.Contains(t, w.log.String(), "drained")
+}
+
+func TestCommands(t *testing.T) {
+	for says, args := range map[string][]string{"no command": {"fly"}, "usage": {}, "GW_CONFIG is not set": {"serve"},
+		"-front names no file": {"routes"}, "not wanted": {"version", "x"}, "not defined": {"serve", "-x"}} {
+		var out, errs strings.Builder
+		require.NotZero(t, run(args, func(string) string { return "" }, &out, &errs))
+		require.Contains(t, errs.String(), says)
+	}
+	var out strings.Builder
+	require.Zero(t, run([]string{"version"}, nil, &out, io.Discard))
+	require.Equal(t, "ferryfront "+version+"\n", out.String())
+}
--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -15,12 +17,15 @@
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/config"
 	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/front/openapi"
 	"ferryfront.example/ferryfront/internal/front/platform"
+	"ferryfront.example/ferryfront/internal/front/routes"
 	"ferryfront.example/ferryfront/internal/net/counter"
 	"ferryfront.example/ferryfront/internal/net/discovery"
 	"ferryfront.example/ferryfront/internal/net/downstream"
 	"ferryfront.example/ferryfront/internal/net/loop"
 	"ferryfront.example/ferryfront/internal/net/upstream"
+	"ferryfront.example/ferryfront/internal/telemetry"
 )
 
 func checkConfig(flags *flag.FlagSet, args []string, getenv func(string) string, out, _ io.Writer) error {
@@ -37,6 +42,9 @@
 }
 
 func serve(flags *flag.FlagSet, args []string, getenv func(string) string, _, errs io.Writer) error {
+	var opt options
+	flags.StringVar(&opt.front, "front", "", "`file` of a second front, with routes from an OpenAPI description")
+	flags.StringVar(&opt.otlp, "otlp", getenv("OTEL_EXPORTER_OTLP_ENDPOINT"), "`URL` of an OTLP/HTTP endpoint")
 	if err := parse(flags, args); err != nil {
 		return err
 	}
@@ -46,21 +54,42 @@
 	}
 	log := slog.New(slog.NewTextHandler(errs, nil)).With("name", cfg.Name)
 	bound(cfg)
-	d, err := newDaemon(cfg, log)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := newDaemon(cfg, opt, log)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		for range signals {
-			d.loop.Post(d.drain)
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				d.loop.Post(d.drain)
+				continue
+			}
+			select {
+			case d.reload <- struct{}{}:
+			default: // one is waiting already
+			}
 		}
 	}()
 	log.Info("serving", "version", version, "listen", cfg.Listen)
-	return d.loop.Run(d)
+	err = d.loop.Run(d)
+	if d.telemetry != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), flushMost)
+		defer cancel()
+		if err := d.telemetry.Shutdown(ctx); err != nil {
+			log.Warn("telemetry not flushed", "error", err)
+		}
+	}
+	return err
 }
 
+// flushMost is how long the end of the process may wait for telemetry.
+const flushMost = 150 * time.Millisecond
+
+// options are serve's flags.
+type options struct{ front, otlp string }
+
 // bound keeps the runtime within the machine: one core, and memory collected hard before the platform
 // would kill the process. The live heap is small, so collecting seldom costs little memory and saves time.
 func bound(cfg config.Config) {
@@ -73,14 +102,16 @@
 
 // daemon is the program's parts, wired together.
 type daemon struct {
-	loop     *loop.Loop
-	cfg      config.Config
-	log      *slog.Logger
-	core     *core.Core
-	server   *downstream.Server
-	watcher  *discovery.Watcher
-	draining bool
-	drained  bool // no new connections either
+	telemetry *telemetry.Exporter // nil unless an endpoint is set
+	reload    chan struct{}
+	loop      *loop.Loop
+	cfg       config.Config
+	log       *slog.Logger
+	core      *core.Core
+	server    *downstream.Server
+	watcher   *discovery.Watcher
+	draining  bool
+	drained   bool // no new connections either
 }
 
 // noCounter stands where a deployment has none; the module does not call it there.
@@ -88,7 +119,7 @@
 
 func (noCounter) Add(string, float64, time.Duration) {}
 
-func newDaemon(cfg config.Config, log *slog.Logger) (*daemon, error) {
+func newDaemon(cfg config.Config, opt options, log *slog.Logger) (*daemon, error) {
 	// Every refusal tells when to come back, also where clients are not known to heed it.
 	cfg.Settings.RetryAfter = true
 	module, err := admission.New(cfg.Settings, cfg.Seed)
@@ -99,10 +130,16 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{loop: l, cfg: cfg, log: log}
+	d := &daemon{loop: l, cfg: cfg, log: log, reload: make(chan struct{}, 1)}
 	hosts := upstream.New(l, cfg.Limits, log)
 	parts := core.Config{Decider: module, Upstreams: hosts, Counter: noCounter{}, Cluster: d, Log: log,
 		Margin: cfg.Limits.AnswerMargin}
+	if opt.otlp != "" {
+		if d.telemetry, err = newTelemetry(cfg, opt.otlp, log); err != nil {
+			return nil, err
+		}
+		parts.Observer = d.telemetry
+	}
 	var calls *counter.Client
 	if cfg.Settings.HasCounter {
 		calls = counter.New(l, cfg.Limits, log, cfg.Counter)
@@ -118,9 +155,79 @@
 	if err := d.server.Listen(cfg.Listen, platform.New(d.core, cfg.Settings, d.watcher.Known)); err != nil {
 		return nil, err
 	}
+	if opt.front != "" {
+		if err := d.secondFront(opt.front); err != nil {
+			return nil, err
+		}
+	}
 	return d, nil
 }
 
+// secondFront opens the front that a file describes, beside the platform's.
+func (d *daemon) secondFront(path string) error {
+	file, err := openapi.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	stamp := file.Stamp()
+	table, err := file.Load(d.cfg.Settings)
+	if err != nil {
+		return err
+	}
+	f := openapi.New(d.core, d.cfg.Settings, file, table, d.watcher.Known, d.log)
+	if err := d.server.Listen(file.Listen, f); err != nil {
+		return err
+	}
+	d.log.Info("second front", "listen", file.Listen, "routes", len(table.All()))
+	if file.Description != "" {
+		r := openapi.Reloader{File: file, Settings: d.cfg.Settings, Log: d.log, Every: time.Second, Kick: d.reload,
+			Swap: func(t *routes.Table) { d.loop.Post(func() { f.Swap(t) }) }}
+		go r.Run(stamp)
+	}
+	return nil
+}
+
+func newTelemetry(cfg config.Config, endpoint string, log *slog.Logger) (*telemetry.Exporter, error) {
+	c := telemetry.Config{Endpoint: endpoint, Instance: cfg.Name, Version: version, Log: log,
+		Every: cfg.Limits.TelemetryEvery, Queue: cfg.Limits.TelemetryQueue}
+	for _, class := range cfg.Settings.Classes {
+		c.Classes = append(c.Classes, class.Name)
+	}
+	for _, plan := range cfg.Settings.Plans {
+		c.Plans = append(c.Plans, plan.Name)
+	}
+	return telemetry.New(c)
+}
+
+// listRoutes compiles a second front's file as serve would and prints its table.
+func listRoutes(flags *flag.FlagSet, args []string, getenv func(string) string, out, _ io.Writer) error {
+	path := flags.String("front", "", "`file` of the second front")
+	if err := parse(flags, args); err != nil {
+		return err
+	}
+	if *path == "" {
+		return errors.New("routes: -front names no file")
+	}
+	cfg, err := config.Load(getenv)
+	if err != nil {
+		return err
+	}
+	file, err := openapi.ReadFile(*path)
+	if err != nil {
+		return err
+	}
+	table, err := file.Load(cfg.Settings)
+	if err != nil {
+		return err
+	}
+	for _, r := range table.All() {
+		if _, err := fmt.Fprintf(out, "%-6s %-40s %-12s %d\n", r.Method, r.Path, r.Class, r.Cost); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Refetch asks discovery for the whole list.
 func (d *daemon) Refetch() { d.watcher.Refetch() }
 
--- /dev/null
+++ b/cmd/ferryfront/world_test.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience bounds every wait on a condition; none takes nearly as long.
+const patience = 20 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "ferryfront")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "ferryfront")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("%v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// world stands in for all that is around one daemon: upstream hosts, counter, discovery and clients.
+type world struct {
+	t       *testing.T
+	hosts   map[string]http.HandlerFunc // by id; each is a server of its own
+	counter http.HandlerFunc
+	mute    bool // discovery does not listen
+	args    []string
+	change  func(config, settings map[string]any)
+	unknown bool // the configuration knows no hosts: they are only told by discovery
+
+	addr string
+	cmd  *exec.Cmd
+	log  lockedBuffer
+	news chan string   // lines for the watches of discovery
+	over chan struct{} // closed at the end of the test
+
+	mu    sync.Mutex
+	seen  []string // what upstream hosts got
+	sums  map[string]float64
+	ended map[string]int    // connections closed, by the server's address
+	addrs map[string]string // of upstream hosts, by id
+}
+
+// closed tells how many connections to an upstream host have ended.
+func (w *world) closed(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ended[w.addrs[id]]
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, hosts: map[string]http.HandlerFunc{}, news: make(chan string), over: make(chan struct{}), sums: map[string]float64{},
+		ended: map[string]int{}, addrs: map[string]string{}}
+	w.hosts["h1"] = w.echo
+	w.counter = w.count
+	return w
+}
+
+// echo answers with what came, and notes it.
+func (w *world) echo(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	got := fmt.Sprintf("%s %s id=%s key=%s body=%d", r.Method, r.RequestURI, r.Header.Get("Request-Id"),
+		r.Header.Get("Idempotency-Key"), len(body))
+	w.note(got)
+	fmt.Fprint(rw, got)
+}
+
+func (w *world) note(s string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seen = append(w.seen, s)
+}
+
+func (w *world) noted() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.seen...)
+}
+
+func (w *world) count(rw http.ResponseWriter, r *http.Request) {
+	var by float64
+	_, err := fmt.Sscan(r.URL.Query().Get("by"), &by)
+	if err != nil || r.Method != "POST" || r.URL.Query().Get("expire_ms") == "" {
+		rw.WriteHeader(400)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sums[r.URL.Path] += by
+	fmt.Fprint(rw, w.sums[r.URL.Path])
+}
+
+func (w *world) serve(h http.HandlerFunc) string {
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateClosed {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.ended[s.Listener.Addr().String()]++
+		}
+	}
+	s.Start()
+	w.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return s.Listener.Addr().String()
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+type obj = map[string]any
+
+func entry(id, addr, state string) obj {
+	return obj{"id": id, "addr": addr, "zone": "a", "kind": "k", "cell": 1, "state": state, "weight": 1, "started_ms": 0}
+}
+
+func line(version int, full bool, entries ...obj) string {
+	b, _ := json.Marshal(obj{"version": version, "full": full, "servers": entries})
+	return string(b) + "\n"
+}
+
+// start starts the daemon and waits until it says that it is ready.
+func (w *world) start() *world {
+	var list []obj
+	for id, h := range w.hosts {
+		w.addrs[id] = w.serve(h)
+		list = append(list, entry(id, w.addrs[id], "Ready"))
+	}
+	discovery := free(w.t)
+	if !w.mute {
+		discovery = w.serve(func(rw http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(rw, line(5, true, list...))
+			for {
+				rw.(http.Flusher).Flush()
+				select {
+				case text := <-w.news:
+					fmt.Fprint(rw, text)
+				case <-r.Context().Done():
+					return
+				}
+			}
+		})
+	}
+	known := obj{"version": 1, "full": true, "servers": list}
+	if w.unknown {
+		known["servers"] = []obj{}
+	}
+	class := func(name, effect string) obj {
+		return obj{"name": name, "effect": effect, "onTime": 1000, "deadline": 3000, "value": 1, "dedupScope": "cell", "repeatWindow": 3000}
+	}
+	settings := obj{"balancers": 1, "me": 0, "period": 4, "zone": "a", "discovery": "push",
+		"classes": []obj{class("stock", "retryable"), class("catalogue", "retryable"), class("order", "dedup")},
+		"tiersOfService": []obj{{"name": "boutique", "quotaRate": 100, "storeSize": 200, "valueFactor": 1},
+			{"name": "small", "quotaRate": 0.1, "storeSize": 3, "valueFactor": 1, "overrunCost": 1}},
+		"extra":  obj{"hasCounter": true, "counterTimeout": 30, "maxUnits": 2},
+		"limits": obj{"maxAttempts": 3, "cancelling": true, "dialTimeout": 250, "idleClose": 15000, "maxRetryAfter": 2000},
+		"rules":  obj{"answerSlack": 16, "drainGrace": 500}}
+	w.addr = free(w.t)
+	config := obj{"name": "n0", "listen": w.addr, "discovery": discovery, "counter": w.serve(w.counter), "seed": "1f",
+		"limits": obj{"cores": 1, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}
+	if w.change != nil {
+		w.change(config, settings)
+	}
+	raw, err := json.Marshal(config)
+	require.NoError(w.t, err)
+	path := filepath.Join(w.t.TempDir(), "config.json")
+	require.NoError(w.t, os.WriteFile(path, raw, 0o600))
+	w.cmd = exec.Command(binary, append([]string{"serve"}, w.args...)...)
+	w.cmd.Env, w.cmd.Stderr = []string{"GW_CONFIG=" + path}, &w.log
+	require.NoError(w.t, w.cmd.Start())
+	w.t.Cleanup(func() {
+		close(w.over)
+		if w.cmd.ProcessState == nil {
+			_ = w.cmd.Process.Kill()
+			_ = w.cmd.Wait()
+		}
+		if w.t.Failed() {
+			w.t.Log(w.log.String())
+		}
+	})
+	w.until(func() bool {
+		resp, err := http.Get("http://" + w.addr + "/up")
+		if err != nil {
+			return false
+		}
+		defer resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+	return w
+}
+
+// until waits on a condition.
+func (w *world) until(cond func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, cond, patience, 5*time.Millisecond)
+}
+
+// reply is an answer, read whole.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+var customers int
+
+// request builds a request of the platform's protocol, by a customer of its own unless one is given.
+func (w *world) request(method, path, class string, body io.Reader, header ...string) *http.Request {
+	if !strings.HasPrefix(path, "/") {
+		customers++
+		path = fmt.Sprintf("/api/%016x%s", customers, path)
+	}
+	r, err := http.NewRequest(method, "http://"+w.addr+path, body)
+	require.NoError(w.t, err)
+	for name, v := range map[string]string{"Request-Id": "r1", "Request-Class": class, "X-Plan": "boutique",
+		"Request-Timeout": "2500m", "X-Quota": "units=1,spread=1,first=0"} {
+		r.Header.Set(name, v)
+	}
+	if class == "order" {
+		r.Header.Set("Idempotency-Key", "k1")
+	}
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+func (w *world) do(r *http.Request) (reply, error) {
+	client := http.Client{Timeout: patience}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(r)
+	if err != nil {
+		return reply{}, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b)}, err
+}
+
+func (w *world) get(r *http.Request) reply {
+	w.t.Helper()
+	got, err := w.do(r)
+	require.NoError(w.t, err)
+	return got
+}
+
+// raw writes bytes on a connection of its own.
+func (w *world) raw(text string) net.Conn {
+	c, err := net.Dial("tcp", w.addr)
+	require.NoError(w.t, err)
+	w.t.Cleanup(func() { c.Close() })
+	require.NoError(w.t, c.SetDeadline(time.Now().Add(patience)))
+	_, err = io.WriteString(c, text)
+	require.NoError(w.t, err)
+	return c
+}
+
+// ends waits for the end of the process and returns its exit code.
+func (w *world) ends() int {
+	done := make(chan struct{})
+	go func() { _ = w.cmd.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(patience):
+		require.Fail(w.t, "the process goes on")
+	}
+	return w.cmd.ProcessState.ExitCode()
+}
+
+func (w *world) signal(s syscall.Signal) { require.NoError(w.t, w.cmd.Process.Signal(s)) }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,71 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/admission"
+)
+
+const good = `{"name":"n1","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"counter":"127.0.0.3:6400",
+"known":{"version":41,"full":true,"servers":[{"id":"s-1","addr":"127.0.0.4:8443","zone":"a","cell":3,
+"state":"Ready","weight":1.0,"started_ms":1764585283123.5}]},
+"settings":{"balancers":3,"me":1,"period":4,"discovery":"push","classes":[{"name":"stock","onTime":1200,
+"deadline":2000,"value":1,"effect":"retryable"}],"extra":{"hasCounter":true,"counterTimeout":30},
+"limits":{"idleClose":15000,"dialTimeout":250},"rules":{}}}`
+
+func env(m map[string]string) func(string) string { return func(k string) string { return m[k] } }
+
+func TestParse(t *testing.T) {
+	c, err := Parse([]byte(good), env(map[string]string{"GW_NAME": "n9", "GW_LISTEN": "127.0.0.9:1"}))
+	require.NoError(t, err)
+	require.Equal(t, "n9", c.Name)
+	require.Equal(t, "127.0.0.9:1", c.Listen)
+	require.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
+	require.Equal(t, 12*time.Second, c.Limits.UpstreamIdle, "well before the other side closes")
+	require.Equal(t, 2500*time.Millisecond, c.Limits.DrainMost)
+	e := c.Known.Entries[0]
+	require.Equal(t, "127.0.0.4:8443", e.Addr)
+	require.Equal(t, admission.Up, e.State)
+	require.Equal(t, 1764585283123500*time.Microsecond, e.Boot)
+}
+
+// The daemon, its descriptors and the counter's connections fit in what a process may hold.
+func TestConnectionsFitTheDescriptors(t *testing.T) {
+	c, err := Parse([]byte(good), env(nil))
+	require.NoError(t, err)
+	l := c.Limits
+	require.LessOrEqual(t, l.Downstream+l.Upstream+l.CounterConns, l.Sockets-40)
+	require.LessOrEqual(t, l.CounterConns, 32)
+	require.Greater(t, l.Downstream, 300)
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	for says, change := range map[string][2]string{
+		"not JSON":                     {`{"name"`, `{name`},
+		"listen: ":                     {`127.0.0.1:8443`, `here`},
+		"discovery: ":                  {`127.0.0.2:8500`, ``},
+		"counter: ":                    {`127.0.0.3:6400`, `localhost:6400`},
+		"seed ":                        {`8c1f30d27a5be964`, `xyz`},
+		"limits is missing":            {`"limits":{"cores"`, `"limit":{"cores"`},
+		"limits.sockets is 10":         {`1024`, `10`},
+		"settings.me is missing":       {`"me":1,`, ``},
+		"number 7 of 3":                {`"me":1`, `"me":7`},
+		"known.servers[0].id is missi": {`"id":"s-1",`, ``},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)), env(nil))
+		require.ErrorContains(t, err, says)
+	}
+	_, err := Load(env(nil))
+	require.ErrorContains(t, err, "GW_CONFIG is not set")
+	path := filepath.Join(t.TempDir(), "c.json")
+	require.NoError(t, os.WriteFile(path, []byte("{}"), 0o600))
+	_, err = Load(env(map[string]string{"GW_CONFIG": path}))
+	require.ErrorContains(t, err, path+": limits is missing")
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -3,6 +3,7 @@
 package front
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -73,3 +74,29 @@
 	}
 	return time.Duration(f * float64(unit)).Truncate(time.Microsecond), true
 }
+
+// Doors reads the platform's form of a quota, "units=2,spread=3,first=1", into whichever of the three
+// are wanted; fields that are not there leave them as they are.
+func Doors(text string, units, spread, first *int) error {
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		var into *int
+		switch name {
+		case "units":
+			into = units
+		case "spread":
+			into = spread
+		case "first":
+			into = first
+		}
+		if into == nil {
+			continue
+		}
+		n, err := strconv.Atoi(value)
+		if err != nil || n < 0 || n > 1e6 {
+			return fmt.Errorf("%s is %q", name, value)
+		}
+		*into = n
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/front/openapi/reload.go
@@ -0,0 +1,64 @@
+package openapi
+
+import (
+	"log/slog"
+	"os"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/front/routes"
+)
+
+// Reloader compiles the routes again when the description changes or when told to, on a goroutine of
+// its own: to read a large description would hold up the loop.
+type Reloader struct {
+	File     File
+	Settings admission.Settings
+	Log      *slog.Logger
+	Every    time.Duration       // how often the description is looked at
+	Kick     <-chan struct{}     // told to reload
+	Swap     func(*routes.Table) // called with each good table, on the reloader's goroutine
+}
+
+// stamp tells one state of a file from another.
+type stamp struct {
+	size int64
+	at   time.Time
+}
+
+func stampOf(path string) stamp {
+	info, err := os.Stat(path)
+	if err != nil { // being replaced: it will be back
+		return stamp{}
+	}
+	return stamp{info.Size(), info.ModTime()}
+}
+
+// Run goes on for the life of the process. A description that is refused leaves the old table in place.
+// was is the state of the description before the first table was read.
+func (r *Reloader) Run(was stamp) {
+	tick := time.NewTicker(r.Every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			is := stampOf(r.File.Description)
+			if is == was || is == (stamp{}) {
+				continue
+			}
+			was = is
+		case <-r.Kick:
+			was = stampOf(r.File.Description)
+		}
+		table, err := r.File.Load(r.Settings)
+		if err != nil {
+			r.Log.Error("routes not reloaded", "error", err)
+			continue
+		}
+		r.Log.Info("routes reloaded", "routes", len(table.All()))
+		r.Swap(table)
+	}
+}
+
+// Stamp is the present state of the description; take it before Load.
+func (f File) Stamp() stamp { return stampOf(f.Description) }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -102,17 +102,8 @@
 		a.ExpiresIn = time.Minute
 	}
 	a.Units, a.Doors, a.FirstDoor = 1, f.settings.Gateways, 0
-	for field := range strings.SplitSeq(r.Headers.Get("X-Quota"), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		into := map[string]*int{"units": &a.Units, "spread": &a.Doors, "first": &a.FirstDoor}[name]
-		if into == nil {
-			continue
-		}
-		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 || n > 1e6 {
-			return a, fmt.Errorf("X-Quota: %s is %q", name, value)
-		}
-		*into = n
+	if err := front.Doors(r.Headers.Get("X-Quota"), &a.Units, &a.Doors, &a.FirstDoor); err != nil {
+		return a, fmt.Errorf("X-Quota: %w", err)
 	}
 	a.Retry = r.Headers.Get("Client-Retry") == "1"
 	return a, nil
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,6 +36,9 @@
 	AnswerMargin time.Duration // before the client's own deadline, for the answer's way back
 	DrainAccept  time.Duration // after SIGTERM, for which new connections are still taken
 	DrainMost    time.Duration // after SIGTERM, at which the daemon ends whatever is open
+
+	TelemetryQueue int           // records, and spans, that may wait to be exported
+	TelemetryEvery time.Duration // between exports
 }
 
 // reserve is what is kept free of connections: standard streams, epoll, eventfd,
@@ -60,9 +63,10 @@
 		CounterIdle: 4 * time.Second, CounterSilence: 20 * time.Second,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
 		ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
-		AnswerMargin: 8 * time.Millisecond,
-		DrainAccept:  700 * time.Millisecond,
-		DrainMost:    max(s.LongestDeadline, time.Second) + 600*time.Millisecond,
+		AnswerMargin:   8 * time.Millisecond,
+		DrainAccept:    700 * time.Millisecond,
+		DrainMost:      max(s.LongestDeadline, time.Second) + 500*time.Millisecond,
+		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
 	}
 	if l.UpstreamIdle <= 0 {
 		l.UpstreamIdle = 4 * time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/valyala/fastjson"
@@ -84,6 +85,21 @@
 	}
 }
 
+// Has tells whether a field is there.
+func (r Reader) Has(key string) bool { return r.get(key) != nil }
+
+// Only notes it as an error if the object has a field of another name.
+func (r Reader) Only(keys ...string) {
+	if r.v == nil || r.v.Type() != fastjson.TypeObject {
+		return
+	}
+	r.v.GetObject().Visit(func(key []byte, _ *fastjson.Value) {
+		if !slices.Contains(keys, string(key)) {
+			r.fail(string(key), "is no field known here")
+		}
+	})
+}
+
 // Float reads a number; absent is 0.
 func (r Reader) Float(key string) float64 {
 	v := r.get(key)
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const good = `{"balancers":3,"me":1,"period":4.0,"discovery":"push","classes":[{"name":"stock","deadline":3000.0005,` +
+	`"effect":"retryable"}],"tiersOfService":[{"name":"p","quotaRate":null}],"limits":{"maxAttempts":3},"rules":{},` +
+	`"stats":{"names":["active","odd"]},"new":1}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	require.NoError(t, err)
+	require.Equal(t, 3, s.Gateways)
+	require.Equal(t, 3*time.Second+time.Microsecond, s.Classes[0].Deadline, "whole microseconds")
+	require.Equal(t, []string{"inflight", "odd"}, s.ReportNames)
+	require.Zero(t, s.Plans[0].Rate, "null is absent")
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	for says, change := range map[string][2]string{
+		"params.me is missing":                     {`"me":1,`, ``},
+		"params.me is no whole number":             {`"me":1`, `"me":1.5`},
+		"params.period is no number":               {`4.0`, `"4"`},
+		"params.period is not a time":              {`4.0`, `1e300`},
+		"params.limits is no object":               {`"limits":{"maxAttempts":3}`, `"limits":[]`},
+		"params.limits.maxAttempts is no number":   {`"maxAttempts":3`, `"maxAttempts":true`},
+		"params.classes is no list":                {`"classes":[`, `"classes":{},"x":[`},
+		"params.classes[0].effect is not known":    {`retryable`, `odd`},
+		"params.tiersOfService[0].name is no text": {`"name":"p"`, `"name":1`},
+		"params.discovery is neither push nor ask": {`"push"`, `"guess"`},
+		"params.stats.names holds what is no text": {`"odd"`, `1`},
+		"params: ": {`}],"tiers`, `]`},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)))
+		require.ErrorContains(t, err, says)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, text string) {
+		_, _ = Parse([]byte(text)) // must not panic
+	})
+}
