Do not wake the loop for timers of streams that have ended

Seen: every stream leaves a deadline, an overdue check, a wait and a counter time-out behind, and each woke the loop for an empty turn, seconds after the answer. Cause: core.Turn and loop.wait took the first timer as the next turn, whether or not it could still do anything.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -276,10 +276,27 @@
 	if len(c.events) > 0 { // carrying out has brought news
 		return c.now
 	}
+	c.timers.Skip(c.matters)
 	next, _ := c.timers.Next()
 	return next
 }
 
+// matters tells whether a timer can still do something. Most streams end long before their deadlines,
+// and a turn for nothing costs as much as one for a request.
+func (c *Core) matters(d due) bool {
+	switch d.kind {
+	case waitOver:
+		s := c.streams[d.ref.Stream]
+		return s != nil && s.attempts[d.ref.Attempt].live
+	case deadline, overdue:
+		return c.streams[d.ref.Stream] != nil
+	case probeOver:
+		_, ok := c.probes[d.ref.Stream]
+		return ok
+	}
+	return true
+}
+
 // handle runs the module on one event. A fault in it must not take the other streams along; the one
 // that met it is still answered, at its deadline.
 func (c *Core) handle(ev admission.Event) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -77,6 +77,15 @@
 	require.Empty(t, c.streams)
 }
 
+// Deadlines of streams that have ended do not wake the loop.
+func TestAnEndedStreamNeedsNoTurn(t *testing.T) {
+	c, _, w, _ := setUp(sends)
+	id := c.Arrive(0, w.request(100*ms))
+	require.Equal(t, 100*ms-margin, c.Turn(0))
+	c.UpstreamEnded(5*ms, Ref{id, 0}, admission.OK, Answer{})
+	require.Zero(t, c.Turn(5*ms))
+}
+
 // The events of a turn are handed over before any action is carried out.
 func TestATurnIsHandedOverInOneGo(t *testing.T) {
 	var w *world
--- a/internal/timerq/timerq.go
+++ b/internal/timerq/timerq.go
@@ -43,6 +43,13 @@
 	return q.heap[0].at, true
 }
 
+// Skip takes out the first values as long as they no longer matter, due or not.
+func (q *Queue[T]) Skip(matters func(T) bool) {
+	for len(q.heap) > 0 && !matters(q.heap[0].v) {
+		q.Pop(q.heap[0].at)
+	}
+}
+
 // Pop takes out the first value that is due by now.
 func (q *Queue[T]) Pop(now time.Duration) (v T, ok bool) {
 	if len(q.heap) == 0 || q.heap[0].at > now {
