--- a/cmd/ferryfront/process_test.go
+++ b/cmd/ferryfront/process_test.go
@@ -58,6 +58,8 @@
 	}{
 		{404, w.request("GET", "/else", "stock", nil)},
 		{405, w.request("DELETE", "", "stock", nil)},
+		{405, w.request("POST", "", "stock", strings.NewReader("x"))}, // a write must not pass for safe to repeat
+		{405, w.request("GET", "", "order", nil)},
 		{400, w.request("GET", "", "none", nil)},
 		{400, w.request("GET", "", "stock", nil, "X-Plan", "none")},
 		{400, w.request("GET", "", "stock", nil, "Request-Id", "")},
@@ -154,6 +156,18 @@
 	}
 }
 
+// No connection: the request can't have run, so another host may have it whatever its class. And a host
+// that is gone from its address must not take the daemon along.
+func TestAHostThatRefusesConnections(t *testing.T) {
+	w := newWorld(t)
+	w.hosts["h0"] = nil
+	w.start()
+	for range 10 {
+		require.Equal(t, 200, w.get(w.request("POST", "", "order", strings.NewReader("{}"))).status)
+	}
+	require.Contains(t, w.log.String(), "server h0 ejected")
+}
+
 // An upstream request that is out when its client has had enough, or has gone, ends by closing its connection.
 func TestNoAnswerInTimeAndClientThatLeaves(t *testing.T) {
 	w := newWorld(t)
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -168,7 +168,9 @@
 func (w *world) start() *world {
 	var list []obj
 	for id, h := range w.hosts {
-		w.addrs[id] = w.serve(h)
+		if w.addrs[id] = free(w.t); h != nil { // a host without a handler refuses connections
+			w.addrs[id] = w.serve(h)
+		}
 		list = append(list, entry(id, w.addrs[id], "Ready"))
 	}
 	discovery := free(w.t)
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -50,7 +50,7 @@
 		local(c, 404, "no such path")
 		return
 	case r.Method != "GET" && r.Method != "POST":
-		c.Reply(405, http1.Headers{{Name: "Allow", Value: "GET, POST"}}, nil)
+		notAllowed(c, "GET, POST")
 		return
 	}
 	a, err := f.read(r, path)
@@ -58,9 +58,21 @@
 		local(c, 400, err.Error())
 		return
 	}
+	// The class fixes the method. A write that passed for safe would be repeated.
+	if safe := f.settings.Classes[a.Class].Effect == admission.Safe; safe && a.Write {
+		notAllowed(c, "GET")
+		return
+	} else if !safe && !a.Write {
+		notAllowed(c, "POST")
+		return
+	}
 	front.Open(f.streams, c, a, r, owner{c})
 }
 
+func notAllowed(c *downstream.Conn, allow string) {
+	c.Reply(405, http1.Headers{{Name: "Allow", Value: allow}}, nil)
+}
+
 // Left tells the core that a client has gone.
 func (f *Front) Left(c *downstream.Conn) { f.streams.Leave(c.Now(), c.Stream) }
 
@@ -86,7 +98,9 @@
 	if class.Effect == admission.Keyed && r.Headers.Get("Idempotency-Key") == "" {
 		return a, fmt.Errorf("Idempotency-Key is missing")
 	}
-	if a.Plan, ok = f.plans[r.Headers.Get("X-Plan")]; !ok {
+	if a.Plan, ok = f.plans[r.Headers.Get("X-Plan")]; !ok && len(f.plans) == 0 {
+		a.Plan = -1 // a deployment without plans
+	} else if !ok {
 		return a, fmt.Errorf("X-Plan %q is not known", r.Headers.Get("X-Plan"))
 	}
 	if a.Customer, ok = front.Customer(path[strings.LastIndexByte(path, '/')+1:]); !ok {
