Give each stand-in host a cell of its own, so that a wrong outcome shows

The test of a host that refuses connections passed with Unreachable reported as Broken, since both hosts were of one cell, where a repeat is allowed. It fails now.

--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -155,8 +155,9 @@
 
 type obj = map[string]any
 
+// entry is a host of the list; each is of a cell of its own.
 func entry(id, addr, state string) obj {
-	return obj{"id": id, "addr": addr, "zone": "a", "kind": "k", "cell": 1, "state": state, "weight": 1, "started_ms": 0}
+	return obj{"id": id, "addr": addr, "zone": "a", "kind": "k", "cell": int(id[1] - '0'), "state": state, "weight": 1, "started_ms": 0}
 }
 
 func line(version int, full bool, entries ...obj) string {
