--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,6 +44,15 @@
 	c.Stream = s.Arrive(c.Now(), core.Request{RequestArrived: a, Payload: Message(r), Owner: o})
 }
 
+// Serve answers with what an upstream host answered.
+func Serve(c *downstream.Conn, a core.Answer) {
+	var h http1.Headers
+	if a.ContentType != "" {
+		h = http1.Headers{{Name: "Content-Type", Value: a.ContentType}}
+	}
+	c.Reply(200, h, a.Body)
+}
+
 // RefusalStatus: a request that was never sent on met its quota; one that was met pressure.
 func RefusalStatus(e core.End) int {
 	if e.Sent {
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -184,11 +184,7 @@
 func (o owner) End(e core.End) {
 	switch e.Kind {
 	case core.Served:
-		var h http1.Headers
-		if e.Answer.ContentType != "" {
-			h = http1.Headers{{Name: "Content-Type", Value: e.Answer.ContentType}}
-		}
-		o.c.Reply(200, h, e.Answer.Body)
+		front.Serve(o.c, e.Answer)
 	case core.Refused:
 		seconds := max(1, (e.RetryAfter+time.Second-1)/time.Second)
 		problem(o.c, front.RefusalStatus(e), http1.Headers{{Name: "Retry-After",
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -130,11 +130,7 @@
 func (o owner) End(e core.End) {
 	switch e.Kind {
 	case core.Served:
-		var h http1.Headers
-		if e.Answer.ContentType != "" {
-			h = http1.Headers{{Name: "Content-Type", Value: e.Answer.ContentType}}
-		}
-		o.c.Reply(200, h, e.Answer.Body)
+		front.Serve(o.c, e.Answer)
 	case core.Refused:
 		o.c.Reply(front.RefusalStatus(e), http1.Headers{{Name: "Retry-After", Value: retryAfter(e.RetryAfter)}}, nil)
 	case core.Expired:
