Follow discovery and the counter to new addresses on SIGHUP; end spoilt counter connections

Its list grew old, and new work went to hosts that were draining.

Now SIGHUP reads and validates GW_CONFIG anew. The old watch counts until the new one has told the whole list; counter calls that are out end where they were made. What can't be used is logged with its field and changes nothing; other differences are named in a warning.

Read on the way and settled with it: - counter: an answer without a number left the connection in use (conn.read); it now ends it, and what was written on it may have been added. - counter: a call that ended at once overtook those of its name that were out, while the module takes answers in the order of calls (Client.answered). - counter: a silent connection that owed answers was kept for 20 s, now 2 s. - discovery: an endless message grew without bound, and a watch that broke off at once again and again logged two lines every 20 ms.

--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -66,6 +67,7 @@
 				d.loop.Post(d.drain)
 				continue
 			}
+			d.reconfigure(config.Reload(getenv))
 			select {
 			case d.reload <- struct{}{}:
 			default: // one is waiting already
@@ -106,9 +108,11 @@
 	reload    chan struct{}
 	loop      *loop.Loop
 	cfg       config.Config
+	told      config.Config // as read at the start
 	log       *slog.Logger
 	core      *core.Core
 	server    *downstream.Server
+	counter   *counter.Client // nil where there is none
 	watcher   *discovery.Watcher
 	draining  bool
 	drained   bool // no new connections either
@@ -120,6 +124,7 @@
 func (noCounter) Add(string, float64, time.Duration) {}
 
 func newDaemon(cfg config.Config, opt options, log *slog.Logger) (*daemon, error) {
+	told := cfg
 	// Every refusal tells when to come back, also where clients are not known to heed it.
 	cfg.Settings.RetryAfter = true
 	// A front's file that is refused ends the start before anything is opened.
@@ -144,7 +149,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{loop: l, cfg: cfg, log: log, reload: make(chan struct{}, 1)}
+	d := &daemon{loop: l, cfg: cfg, told: told, log: log, reload: make(chan struct{}, 1)}
 	hosts := upstream.New(l, cfg.Limits, log)
 	parts := core.Config{Decider: module, Upstreams: hosts, Counter: noCounter{}, Cluster: d, Log: log,
 		Margin: cfg.Limits.AnswerMargin}
@@ -154,15 +159,14 @@
 		}
 		parts.Observer = d.telemetry
 	}
-	var calls *counter.Client
 	if cfg.Settings.HasCounter {
-		calls = counter.New(l, cfg.Limits, log, cfg.Counter)
-		parts.Counter = calls
+		d.counter = counter.New(l, cfg.Limits, log, cfg.Counter)
+		parts.Counter = d.counter
 	}
 	d.core = core.New(parts)
 	hosts.SetSink(d.core)
-	if calls != nil {
-		calls.SetSink(d.core)
+	if d.counter != nil {
+		d.counter.SetSink(d.core)
 	}
 	d.watcher = discovery.New(l, cfg.Limits, log, cfg.Discovery, d.core, hosts, cfg.Known)
 	d.server = downstream.New(l, cfg.Limits, log)
@@ -233,6 +237,26 @@
 	return nil
 }
 
+// reconfigure takes the configuration as it reads now, on the signals' goroutine: where discovery and the
+// counter are. One that can't be used changes nothing, and what would need a restart is only told. A planned
+// end does not stop it, since what is open then still needs both.
+func (d *daemon) reconfigure(to config.Config, err error) {
+	if err != nil {
+		d.log.Error("configuration not reloaded", "error", err)
+		return
+	}
+	d.log.Info("configuration reloaded", "discovery", to.Discovery, "counter", to.Counter)
+	if names := d.told.Changed(to); len(names) > 0 {
+		d.log.Warn("changed configuration needs a restart", "fields", strings.Join(names, ","))
+	}
+	d.loop.Post(func() {
+		d.watcher.Move(to.Discovery)
+		if d.counter != nil {
+			d.counter.Move(to.Counter)
+		}
+	})
+}
+
 // Refetch asks discovery for the whole list.
 func (d *daemon) Refetch() { d.watcher.Refetch() }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -30,7 +31,43 @@
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY, where they are set,
 // go before what the file says.
-func Load(getenv func(string) string) (Config, error) {
+func Load(getenv func(string) string) (Config, error) { return load(getenv, Parse) }
+
+// Reload reads the file again. A process can't be given another environment, so the address of discovery
+// that the file says now goes before the environment's.
+func Reload(getenv func(string) string) (Config, error) {
+	return load(getenv, func(raw []byte, getenv func(string) string) (Config, error) {
+		v, err := fastjson.ParseBytes(raw)
+		if err != nil {
+			return Config{}, fmt.Errorf("not JSON: %w", err)
+		}
+		told := string(v.GetStringBytes("discovery"))
+		return Parse(raw, func(name string) string {
+			if name == "GW_DISCOVERY" && told != "" {
+				return told
+			}
+			return getenv(name)
+		})
+	})
+}
+
+// Changed names the fields in which another configuration differs beyond the addresses that can be followed
+// while running. The list known from before a start is not among them: discovery has told a newer one.
+func (c Config) Changed(to Config) []string {
+	var names []string
+	for _, f := range []struct {
+		name     string
+		was, now any
+	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"seed", c.Seed, to.Seed}, {"limits.cores", c.Cores, to.Cores},
+		{"settings", c.Settings, to.Settings}, {"limits", c.Limits, to.Limits}} {
+		if !reflect.DeepEqual(f.was, f.now) {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
+func load(getenv func(string) string, parse func([]byte, func(string) string) (Config, error)) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG is not set")
@@ -39,7 +76,7 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c, err := Parse(raw, getenv)
+	c, err := parse(raw, getenv)
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,9 +27,12 @@
 	CounterLimit   time.Duration // for a call
 	CounterIdle    time.Duration // a counter connection idle this long is dropped
 	CounterSilence time.Duration // one that owes answers this long is given up
+	CounterMove    time.Duration // for which calls to a counter that has moved may still be answered there
 	BackoffFirst   time.Duration // wait before a new connection after a failed one; doubles
 	BackoffMost    time.Duration
 
+	ClusterBytes   int           // of one of discovery's messages
+	ClusterDial    time.Duration // for a watch's connection to come up
 	ClusterSilence time.Duration // a watch with nothing for this long is opened anew
 	ReadyWait      time.Duration // after which the daemon is ready though discovery is silent
 
@@ -60,9 +63,10 @@
 		DownstreamIdle: 2 * time.Minute, HeadTime: 10 * time.Second, Linger: time.Second,
 		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
 		CounterConns: 24, CounterPending: 48, CounterLimit: s.CounterLimit,
-		CounterIdle: 4 * time.Second, CounterSilence: 20 * time.Second,
+		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second,
+		CounterMove:  1500 * time.Millisecond,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
-		ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
+		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
 		AnswerMargin:   8 * time.Millisecond,
 		DrainAccept:    700 * time.Millisecond,
 		DrainMost:      max(s.LongestDeadline, time.Second) + 500*time.Millisecond,
