Tell a far counter from a crowded one; weigh what servers turn away; small heap

A print in counter.answered: each answer takes 15.5 to 16 ms, least and median alike, here as on a quiet second; the limit is 30. counterWorks held all above 7.5 ms (crowdedAt) for crowded, so askShare sank to its floor and the breaker, which closes on an answer that is not crowded, never closed. An answer is now crowded beyond 1.5 times what one takes at a counter at ease, too. A print in core.UpstreamEnded: five of the ten hosts turn half of what they get away, after 127 ms, and got most of it: observe took it for a sign of life and pick has the latency of good answers only. Its cost now holds the part turned away and the time that takes; forgotten over 5 s. Ruled out: our connections (65 at once, new ones turned away no more than kept ones). GOGC 400 on a live heap of 2 MB lets it climb for 50 s.

--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -35,7 +35,9 @@
 	slackUsed   = 0.95                   // of a ceiling's slack: the rest is for clocks and roundings
 	fitGain     = 0.2                    // EWMA weight of a total read, in what fits
 	phaseMix    = 0x9e3779b97f4a7c15     // spreads customer ids evenly (Fibonacci hashing)
-	crowdedAt   = 0.25                   // of a call's time limit: an answer later than this shows crowding
+	crowdedAt   = 0.25                   // of a call's time limit: an answer later than this shows crowding,
+	crowdedX    = 1.5                    // and so many times what one takes at a counter at ease,
+	easeGain    = 0.005                  // EWMA weight of one that took more than that, in what it takes
 	probeEvery  = 250 * time.Millisecond // calls made while the breaker is open, to see whether it is back,
 	probeSum    = 10 * time.Millisecond  // and by all gateways together at most one in this time
 	keepWindows = 2.5                    // windows for which a name is kept: the next one still reads it
@@ -49,6 +51,9 @@
 	unitsTell   = 0.6                    // part of a request's work that goes with its units
 	respGain    = 0.15                   // EWMA weight of an answer's latency at a server
 	respMost    = 10.0                   // times the usual: more than this tells no more
+	turnGain    = 0.15                   // EWMA weight of an answer in the part that a server turns away;
+	turnMemory  = 5.0                    // seconds for which that is remembered of one that gets nothing,
+	turnMost    = 0.9                    // and no more than this is believed
 	statGain    = 0.02                   // EWMA weight of an answer in its class's usual latency
 	ejectFirst  = 500 * time.Millisecond // first ejection after a failure; doubles with each further
 	ejectMost   = 8 * time.Second        // longest ejection, so that recovery is seen within it
@@ -97,6 +102,7 @@
 	open               bool // the circuit breaker
 	nextProbe          time.Duration
 	answeredAt         time.Duration // last answer of the counter
+	ease               time.Duration // what an answer takes of a counter at ease: a far one is not crowded
 	callRate, askShare float64       // calls per request, EWMA; part of the requests that ask
 
 	servers map[string]*server
@@ -482,7 +488,11 @@
 
 func (g *Gateway) counterWorks(took time.Duration) {
 	g.failures = 0
-	if took > seconds(crowdedAt*g.s.CounterLimit.Seconds()) {
+	if g.ease == 0 || took < g.ease {
+		g.ease = took
+	}
+	g.ease += time.Duration(easeGain * float64(took-g.ease))
+	if took > seconds(max(crowdedAt*g.s.CounterLimit.Seconds(), crowdedX*g.ease.Seconds())) {
 		g.askShare = math.Max(askLeast, g.askShare*crowdedCut)
 	} else {
 		ease := crowdedGain + crowdedEase*(g.now-g.answeredAt).Seconds()
@@ -679,6 +689,18 @@
 		g.now-s.out[0] > max(silentMin, seconds(silentX*s.resp*g.usual))
 }
 
+// turnedBy is the part of what a server gets that it turns away. Guards against one that limits itself: it
+// answers the rest as ever, so by latency alone it looks as good as any. It harms when the limit has ended
+// and nothing was sent there since, hence the memory.
+func (s *server) turnedBy(now time.Duration) float64 {
+	return math.Min(turnMost, s.turned*math.Exp(-(now-s.turnedAt).Seconds()/turnMemory))
+}
+
+func (s *server) turn(now time.Duration, away float64) {
+	part := s.turnedBy(now)
+	s.turned, s.turnedAt = part+turnGain*(away-part), now
+}
+
 func (g *Gateway) expected(r *request) float64 {
 	st := g.stats[r.ci]
 	if st.took == 0 {
@@ -709,7 +731,8 @@
 		if g.warmth(s) < 1 { // its lot, and all that it gets
 			return s, g.expected(r)
 		}
-		cost := s.resp * (n + 1)
+		turned := s.turnedBy(g.now)
+		cost := (s.resp*(n+1) + turned*s.turnTook/g.usual) / (1 - turned)
 		if s.Zone != g.s.Zone {
 			cost *= 1 + zonePenalty*g.s.CrossZone
 		}
@@ -870,6 +893,7 @@
 		g.unheard -= lostGain * g.unheard
 		g.throttle(took > lateAt*(r.due-r.at).Seconds())
 		s.heard = g.now
+		s.turn(g.now, 0)
 		s.thru.add(g.now, thruMemory)
 		g.served.add(g.now, thruMemory)
 		s.resp += respGain * (math.Min(respMost, took/e) - s.resp)
@@ -884,8 +908,12 @@
 		st.took += statGain * (took - st.took)
 		st.units += statGain * (r.units - st.units)
 		g.usual += statGain * (took - g.usual)
-	case Errored, Full:
+	case Errored:
+		s.heard = g.now
+	case Full:
 		s.heard = g.now
+		s.turn(g.now, 1)
+		s.turnTook += respGain * (took - s.turnTook)
 	case TimedOut:
 		g.unheard += lostGain * (1 - g.unheard)
 		// Else the answer was lost, or one server is slow.
--- a/admission/gateway_test.go
+++ b/admission/gateway_test.go
@@ -871,3 +871,74 @@
 		}
 	}
 }
+
+// A counter that is far away answers every call late and none crowded: all the same it is asked, and the
+// breaker closes. One that takes longer than it did is crowded.
+func TestAFarCounterIsNotACrowdedOne(t *testing.T) {
+	s := base()
+	s.Gateways = 1
+	d := newDesk(t, s, "s1")
+	id := uint64(0)
+	call := func(o Outcome, took time.Duration) {
+		id++
+		d.do(RequestArrived{ID: id, Plan: rate, Customer: id, ExpiresIn: time.Second, Units: 1, Doors: 2})
+		for _, add := range find[CounterAdd](d.look()) {
+			d.wait(took)
+			d.do(CounterAnswered{Name: add.Name, Total: add.By, Took: took, Outcome: o})
+		}
+	}
+	const far = 40 * ms // half of the limit
+	for range 50 {
+		call(OK, far)
+	}
+	if d.g.askShare < 1 {
+		t.Fatalf("%v of the requests ask a far counter", d.g.askShare)
+	}
+	for range 100 { // fewer and fewer ask
+		call(TimedOut, s.CounterLimit)
+	}
+	if !d.g.open {
+		t.Fatal("the breaker is closed")
+	}
+	d.wait(2 * probeEvery)
+	d.g.askShare = 1 // every request asks, however crowded
+	call(OK, far)
+	if d.g.open {
+		t.Fatal("the breaker stays open")
+	}
+	was := d.g.askShare
+	call(OK, 2*far)
+	if d.g.askShare >= was {
+		t.Fatal("a crowded counter is asked as ever")
+	}
+}
+
+// A server that limits itself answers the rest as fast as any, and with fewer of ours out: by latency alone
+// it would get the most. What it turns away costs an attempt and the time until it does.
+func TestAServerThatTurnsRequestsAwayGetsLess(t *testing.T) {
+	d := newDesk(t, base(), "s1", "s2")
+	sent := map[string]int{}
+	for id := uint64(1); id <= 200; id++ {
+		d.ask(id, 0, free, 1)
+		for n := 0; ; n++ {
+			all := find[Send](d.look())
+			if len(all) == 0 {
+				break
+			}
+			if sent[all[0].Server]++; all[0].Server == "s1" && sent["s1"]%2 == 0 {
+				d.wait(20 * ms)
+				d.end(id, n, "s1", Full)
+				continue
+			}
+			d.wait(10 * ms)
+			d.end(id, n, all[0].Server, OK)
+		}
+	}
+	if sent["s1"] == 0 || sent["s1"] > 50 {
+		t.Fatalf("sent %v", sent)
+	}
+	// Once nothing was sent there for long, it is as good as any again.
+	if s := d.g.servers["s1"]; s.turned == 0 || s.turnedBy(d.now+time.Minute) > 0.01 {
+		t.Fatalf("turned away is remembered for ever: %v", s.turned)
+	}
+}
--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -93,10 +93,11 @@
 type options struct{ front, otlp string }
 
 // bound keeps the runtime within the machine: one core, and memory collected hard before the platform
-// would kill the process. The live heap is small, so collecting seldom costs little memory and saves time.
+// would kill the process. The live heap is small: to collect at twice its size costs little time, and the
+// heap has its final size within seconds, so that growth that does not stop is seen for what it is.
 func bound(cfg config.Config) {
 	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100)
 	if mb := cfg.Limits.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(mb) << 20 * 6 / 10)
 	}
