Foretell what other doors take where the counter takes few calls

At fault: customer.refill gave each door the whole rate, and what the others took came off with the next total only; turn dropped what they took late in a window altogether.

The mirror now takes off what the others' totals showed of late, put right by the next total, and leaves each door its even part of the rate at least. It does so only where few requests could ask for long, so the ordinary path is as it was.

--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -34,6 +34,9 @@
 	capFirst    = 2.5                    // the same of a cap, where what is out is not known either
 	slackUsed   = 0.95                   // of a ceiling's slack: the rest is for clocks and roundings
 	fitGain     = 0.2                    // EWMA weight of a total read, in what fits
+	takeMemory  = 2.0                    // seconds over which what other doors take is averaged,
+	foretellAt  = 0.5                    // and where less than this of the requests could ask for long,
+	askedGain   = 0.001                  // EWMA weight of a request in that, it is foretold
 	phaseMix    = 0x9e3779b97f4a7c15     // spreads customer ids evenly (Fibonacci hashing)
 	crowdedAt   = 0.25                   // of a call's time limit: an answer later than this shows crowding,
 	crowdedX    = 1.5                    // and so many times what one takes at a counter at ease,
@@ -104,6 +107,7 @@
 	answeredAt         time.Duration // last answer of the counter
 	ease               time.Duration // what an answer takes of a counter at ease: a far one is not crowded
 	callRate, askShare float64       // calls per request, EWMA; part of the requests that ask
+	asked              float64       // the same over long, EWMA
 
 	servers map[string]*server
 	ring    []*server // in order of name
@@ -133,8 +137,8 @@
 		stats: make([]classStat, len(s.Classes)), press: make([]evidence, len(s.Plans)),
 		thin:  thinning(s.Plans),
 		usual: firstGuess, outFor: firstGuess, callRate: 1, admit: 1,
-		budget:   math.Min(budgetMost, budgetSum/float64(s.Gateways)),
-		askShare: min(1, max(askLeast, askAtFirst/float64(s.Gateways)))}, nil
+		budget: math.Min(budgetMost, budgetSum/float64(s.Gateways)),
+		asked:  foretellAt, askShare: min(1, max(askLeast, askAtFirst/float64(s.Gateways)))}, nil
 }
 
 // Handle takes one event at the time now and returns what is to be done; the next call reuses the slice.
@@ -208,10 +212,20 @@
 	return c
 }
 
-// refill brings the mirror of the store up to now.
-func (c *customer) refill(now time.Duration) {
-	c.level = math.Min(c.plan.Burst, c.level+c.plan.Rate*(now-c.levelAt).Seconds())
-	c.levelAt = now
+// refill brings the mirror of the store up to now. What the other doors take meanwhile is taken off as their
+// totals last showed, and put right by the next total. Without it a door that seldom asks sees none of that
+// until then, and of a window's last part nothing ever. A door is left its even part of the rate at least,
+// else one that is refused all would never ask again. It harms when the others have just stopped.
+func (g *Gateway) refill(c *customer) {
+	span := (g.now - c.levelAt).Seconds()
+	taken := 0.0
+	// While all ask, totals are fresh; without a counter what is sent from here stands for all doors.
+	if g.asked < foretellAt && !g.open && g.s.HasCounter {
+		taken = span * math.Min(c.take, c.plan.Rate*(1-1/c.doors))
+	}
+	c.level = math.Min(c.plan.Burst, c.level+c.plan.Rate*span-taken)
+	c.taken += taken
+	c.levelAt = g.now
 }
 
 // sparse tells whether a door's own share of the quota is less than a request of so many units. Such a
@@ -225,6 +239,9 @@
 // turn moves a ledger to the window of now. A gauge takes along what is out of ours; leaks stay behind.
 func (g *Gateway) turn(c *customer, l *ledger) {
 	if w := l.index(g.now); w != l.window {
+		if l == &c.rate { // what was foretold for the last window can't be put right any more
+			c.taken = math.Min(c.taken, c.take*l.into(g.now).Seconds())
+		}
 		l.window, l.seen, l.fold, l.seenAt = w, 0, 0, g.now-l.into(g.now)
 		if l == &c.gauge {
 			l.fold = c.reg
@@ -310,8 +327,11 @@
 		g.decideAlone(r)
 		return
 	}
-	c.refill(g.now)
+	g.refill(c)
 	g.callRate *= 1 - callGain
+	if !g.open {
+		g.asked += askedGain * (g.askShare - g.asked)
+	}
 	known := p.Rate > 0 && c.level < surelyOver*r.units || p.AtOnce > 0 && c.out >= p.AtOnce ||
 		c.sparse(r.units) && g.rng.Float64() >= g.fits(c)/thinBelow
 	if known && g.callRate > askFloor*g.askShare && !g.open {
@@ -392,6 +412,7 @@
 func (g *Gateway) total(k *call, total float64) {
 	c, l := k.c, k.l
 	if k.window == l.window {
+		span := (g.now - l.seenAt).Seconds()
 		if l != &c.gauge {
 			g.weigh(c, l, k, total)
 		}
@@ -401,8 +422,12 @@
 		}
 		l.seen = total
 		if l == &c.rate {
-			c.refill(g.now)
-			c.level -= others + k.own
+			g.refill(c)
+			c.level += c.taken - others - k.own
+			c.taken = 0
+			if span > 0 {
+				c.take += (1 - math.Exp(-span/takeMemory)) * (math.Max(0, others/span) - c.take)
+			}
 		}
 	}
 	r := k.r
@@ -512,7 +537,7 @@
 	c := r.cust
 	p := c.plan
 	over := r.over
-	c.refill(g.now)
+	g.refill(c)
 	heft := 1.0
 	if g.open || !g.s.HasCounter {
 		heft = c.doors
--- a/admission/gateway_test.go
+++ b/admission/gateway_test.go
@@ -942,3 +942,47 @@
 		t.Fatalf("turned away is remembered for ever: %v", s.turned)
 	}
 }
+
+// Where the counter takes few calls, most requests are decided by the mirror. What the other doors took
+// between two totals is not on it: it must be foretold, or each door spends the whole quota by itself.
+func TestWhatOtherDoorsTakeIsForetoldBetweenTotals(t *testing.T) {
+	s := base()
+	s.Plans[rate].Rate, s.Plans[rate].Burst = 10, 20
+	run := func(asked float64) (sent int) {
+		d := newDesk(t, s, "s1", "s2", "s3")
+		name, total, id := "", 0.0, uint64(0)
+		for step := range 600 { // 30 s, ten a second asked here and five taken elsewhere
+			d.wait(50 * ms)
+			d.g.asked, d.g.askShare = asked, 0
+			total += 0.25
+			if step%20 == 0 { // one a second asks
+				d.g.askShare = 1
+			}
+			if step%2 == 1 {
+				continue
+			}
+			id++
+			d.ask(id, 0, rate, 1)
+			for range 2 {
+				got := d.look()
+				for _, add := range find[CounterAdd](got) {
+					if name != add.Name { // a new window
+						name, total = add.Name, 5*d.g.customers[5].rate.into(d.now).Seconds()
+					}
+					total += add.By
+					d.do(CounterAnswered{Name: name, Total: total, Took: 2 * ms, Outcome: OK})
+				}
+				for _, snd := range find[Send](got) {
+					sent++
+					d.end(snd.ID, 0, snd.Server, OK)
+				}
+			}
+		}
+		return sent
+	}
+	blind, foretold := run(1), run(0)
+	// Five a second and the store are what is left here.
+	if foretold < 120 || foretold > 180 || blind < foretold+20 {
+		t.Fatalf("of 300 sent %d, blindly %d", foretold, blind)
+	}
+}
--- a/admission/util.go
+++ b/admission/util.go
@@ -184,6 +184,7 @@
 	index                 int      // of the plan
 	press                 evidence // what all doors ask, over what fits
 	level, hard           float64  // the mirror; this gateway's part of the hard ceiling's store
+	take, taken           float64  // units a second that other doors take, EWMA; foretold since the last total
 	used, levelAt, hardAt time.Duration
 	out                   int     // requests sent from here and not ended
 	reg                   float64 // what this gateway has on the gauge, or about to
