Refill a dealer's ceiling store from our start; make each probe of a lost counter that is due

An earlier life can have spent it up to our start only; from then on it refills. The rule stays guarded: right after a start the store is as empty as before.

And arrive let a due probe of a lost counter pass only by the part that asks (0.1 after an outage).

--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -94,6 +94,7 @@
 	rng     *rand.Rand
 	now     time.Duration
 	started bool
+	began   time.Duration // time of the first event
 	out     []Action
 	logs    int // lines for the operator so far
 
@@ -146,7 +147,7 @@
 	g.out = g.out[:0]
 	g.now = max(now, g.now)
 	if !g.started {
-		g.started, g.answeredAt = true, now // no answer was due before the start
+		g.started, g.began, g.answeredAt = true, now, now // no answer was due before the start
 		g.timer(timerSweep, 0, g.now+sweepEvery)
 		if g.s.MustAsk {
 			g.do(Subscribe{On: true})
@@ -197,7 +198,7 @@
 	c, plan := g.customers[id], &g.s.Plans[index]
 	if c == nil || c.plan != plan {
 		c = &customer{plan: plan, index: index, fit: 1, level: plan.Burst,
-			levelAt: g.now, hardAt: g.now}
+			levelAt: g.now, hardAt: g.began}
 		key, phase := strconv.FormatUint(id, 36), float64(id*phaseMix>>32)/(1<<32)
 		if plan.Rate > 0 {
 			c.rate = newLedger("q"+key+".", seconds(plan.Burst/plan.Rate), phase)
@@ -205,7 +206,7 @@
 		c.gauge = newLedger("o"+key+".", gaugeSpan, phase)
 		c.demand = newLedger("d"+key+".", gaugeSpan, phase)
 		c.doors = math.Max(1, math.Min(float64(doors), float64(g.s.Gateways)))
-		c.hard = -slackUsed * plan.CeilingSlack / c.doors // spent: an earlier life may have sent it
+		c.hard = -slackUsed * plan.CeilingSlack / c.doors // at our start: an earlier life may have sent it
 		g.customers[id] = c
 	}
 	c.used = g.now
@@ -340,7 +341,7 @@
 	}
 	probing := g.open && g.now >= g.nextProbe
 	share := g.asking(c.index)
-	if g.open && !probing || g.rng.Float64() >= share {
+	if g.open && !probing || !probing && g.rng.Float64() >= share {
 		g.decideAlone(r)
 		return
 	}
