Answer bad clients in time and at bounded cost; refuse ids that are open; trust no open end

By reading, then checked with the tests below: - platform.read took units, spread and first up to 1e6, times of 0 (for a minute), hex floats and 1e12 ms, customers from 2^33, repeated fields (we read the first one), bodies on GET. A time beyond the class's is cut to it. - Nobody noticed a Request-Id that was open already. core.Arrive does; both fronts: 409. - downstream.makeRoom looked at one idle connection, and half requests stayed 10 s, silent ones 2 min. Now 2 s from connecting, and who has had no answer is closed first. - downstream.discard read until EAGAIN; reader.take moved all that was sent ahead for each message; accepting knew no bound. Each is bounded per turn now. - upstream: a 200 that ended by close was served, cut or not: now Broken. A print of 7,300 answers showed that good ones here carry one length, and that the other spoilt kinds (two lengths, -1, 3e9, bad chunks, endless heads) all fail in the parser already; noise behind a good one only ends its connection. - drain: what was open at the last moment was dropped; it gets 504 first, and the moment follows the longest deadline (it was at least 1.5 s).

--- a/cmd/ferryfront/process_test.go
+++ b/cmd/ferryfront/process_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -67,6 +68,18 @@
 		{400, w.request("GET", "", "stock", nil, "Request-Timeout", "soon")},
 		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=many")},
 		{400, w.request("GET", "/api/nobody", "stock", nil)},
+		{400, w.request("GET", "/api/0000000200000000", "stock", nil)}, // customers are below 2^33
+		{400, w.request("GET", "", "stock", nil, "Request-Timeout", "NaNm")},
+		{400, w.request("GET", "", "stock", nil, "Request-Timeout", "0m")},
+		{400, w.request("GET", "", "stock", nil, "Request-Timeout", "0x1p9m")},
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=0,spread=1,first=0")},
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=3,spread=1,first=0")}, // maxUnits is 2
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=1,spread=2,first=0")}, // of one ingress
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=1,spread=1,first=1")},
+		{400, w.request("GET", "", "stock", nil, "X-Quota", "units=1,units=2")},
+		{400, w.request("GET", "", "stock", nil, "Request-Id", "a b")},
+		{400, w.request("GET", "", "stock", nil, "Request-Id", strings.Repeat("x", 300))},
+		{400, w.request("GET", "", "stock", strings.NewReader("x"))},
 		{400, w.request("POST", "", "order", nil, "Idempotency-Key", "")},
 		{413, w.request("POST", "", "order", strings.NewReader(strings.Repeat("x", 64<<10+1)))},
 		{431, w.request("GET", "", "stock", nil, "X-Long", strings.Repeat("x", 20<<10))},
@@ -76,6 +89,96 @@
 	require.Empty(t, w.noted())
 }
 
+// Of a field that is there twice, each reader may take another.
+func TestAFieldThatIsThereTwice(t *testing.T) {
+	w := newWorld(t).start()
+	for _, name := range []string{"Request-Id", "Request-Class", "X-Plan", "X-Quota", "Request-Timeout"} {
+		r := w.request("GET", "", "stock", nil)
+		r.Header.Add(name, r.Header.Get(name))
+		require.Equal(t, 400, w.get(r).status, name)
+	}
+	require.Empty(t, w.noted())
+}
+
+// Upstream hosts know requests by their ids: one with the id of a request that is open would be a second
+// copy of it. Once that has ended, the id is free.
+func TestAnIdThatIsOpen(t *testing.T) {
+	w := newWorld(t)
+	release := make(chan struct{})
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		w.echo(rw, r)
+		<-release
+	}
+	w.start()
+	first := make(chan reply, 1)
+	r := w.request("GET", "", "stock", nil)
+	go func() { got, _ := w.do(r); first <- got }()
+	w.until(func() bool { return len(w.noted()) == 1 })
+	require.Equal(t, 409, w.get(w.request("GET", "", "stock", nil)).status)
+	require.Len(t, w.noted(), 1)
+	close(release)
+	require.Equal(t, 200, (<-first).status)
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+}
+
+// Connections that say nothing, or half a request, get an error or a close soon, and do not take the place of
+// others, nor that of a usual client's which stands idle: that one is the last to be closed.
+func TestConnectionsThatNeverAskMakeRoom(t *testing.T) {
+	w := newWorld(t)
+	w.change = func(config, _ map[string]any) { config["limits"].(obj)["sockets"] = 48 + 24 + 32 } // 16 for clients
+	w.start()
+	w.until(func() bool { // the connections that asked whether it is ready are still closing
+		usual := w.raw("GET /up HTTP/1.1\r\n\r\n")
+		defer usual.Close()
+		answers := bufio.NewReader(usual)
+		_, err := http.ReadResponse(answers, nil)
+		return err == nil
+	})
+	usual := w.raw("GET /up HTTP/1.1\r\n\r\n")
+	answers := bufio.NewReader(usual)
+	_, err := http.ReadResponse(answers, nil)
+	require.NoError(t, err)
+	var idle []net.Conn
+	for i := range 60 {
+		idle = append(idle, w.raw("GET /api/1 HTTP/1.1\r\n"[:i%2*10]))
+	}
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+	_, err = io.WriteString(usual, "GET /up HTTP/1.1\r\n\r\n")
+	require.NoError(t, err)
+	_, err = http.ReadResponse(answers, nil)
+	require.NoError(t, err, "the usual client's connection has kept its place")
+	for _, c := range idle { // patience is far under the time for which an idle connection is kept
+		_, err = io.Copy(io.Discard, c)
+		require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+}
+
+// A client that sends on and on after its error is not read for ever, nor at the cost of others.
+func TestAnEndlessBodyIsCutOff(t *testing.T) {
+	w := newWorld(t).start()
+	c := w.raw("POST /api/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffff\r\n")
+	sent, err := io.Copy(c, io.LimitReader(zeroes{}, 1<<30))
+	require.Error(t, err)
+	require.Less(t, sent, int64(64<<20))
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+}
+
+type zeroes struct{}
+
+func (zeroes) Read(b []byte) (int, error) { return len(b), nil }
+
+// Hundreds of requests at once are all answered, a few in a turn.
+func TestHundredsOfRequestsSentAhead(t *testing.T) {
+	w := newWorld(t).start()
+	r := bufio.NewReader(w.raw(strings.Repeat("GET /else HTTP/1.1\r\n\r\n", 500)))
+	for range 500 {
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.Equal(t, 404, resp.StatusCode)
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+}
+
 // Beyond its quota a customer is refused at once and told when to come back, whatever the settings say
 // of retry-after; others go on.
 func TestQuota(t *testing.T) {
@@ -135,6 +238,11 @@
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut")
 			c.Close()
 		}, false},
+		"ends by close": {func(rw http.ResponseWriter, _ *http.Request) { // it can't be told from a cut one
+			c := hang(rw)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\ncut")
+			c.Close()
+		}, false},
 		"full": {func(rw http.ResponseWriter, _ *http.Request) {
 			rw.Header().Set("Not-Started", "1")
 			rw.WriteHeader(503)
--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -287,7 +287,8 @@
 	d.loop.After(d.cfg.Limits.DrainMost, func() {
 		if open := d.core.Open(); open > 0 {
 			d.log.Warn("drain cut short", "streams", open)
+			d.core.Abandon(d.loop.Now())
 		}
-		d.loop.Stop()
+		d.loop.After(d.cfg.Limits.DrainFlush, d.loop.Stop)
 	})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,6 +120,9 @@
 	for _, class := range c.Settings.Classes {
 		site.LongestDeadline = max(site.LongestDeadline, min(class.Deadline, 3*time.Second))
 	}
+	if site.LongestDeadline == 0 {
+		site.LongestDeadline = 3 * time.Second
+	}
 	if err := r.Err(); err != nil {
 		return none, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -29,7 +29,7 @@
 	require.Equal(t, "127.0.0.9:1", c.Listen)
 	require.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
 	require.Equal(t, 12*time.Second, c.Limits.UpstreamIdle, "well before the other side closes")
-	require.Equal(t, 2500*time.Millisecond, c.Limits.DrainMost)
+	require.Equal(t, 2600*time.Millisecond, c.Limits.DrainMost)
 	e := c.Known.Entries[0]
 	require.Equal(t, "127.0.0.4:8443", e.Addr)
 	require.Equal(t, admission.Up, e.State)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,7 +74,8 @@
 
 // Request is what a front knows of a client's request.
 type Request struct {
-	admission.RequestArrived // all but the ID
+	admission.RequestArrived        // all but the ID
+	Key                      string // upstream hosts know it by this: no two that are out share one; empty: none
 	Payload                  Payload
 	Owner                    Owner
 }
@@ -109,6 +110,7 @@
 
 type stream struct {
 	id          uint64
+	key         string
 	payload     Payload
 	owner       Owner
 	began, ends time.Duration
@@ -153,6 +155,7 @@
 	now     time.Duration
 	lastID  uint64
 	streams map[uint64]*stream
+	keys    map[string]struct{} // of the streams
 	probes  map[uint64]probe
 	open    int // streams not ended
 	timers  timerq.Queue[due]
@@ -177,7 +180,7 @@
 func New(c Config) *Core {
 	return &Core{decider: c.Decider, upstreams: c.Upstreams, counter: c.Counter, cluster: c.Cluster,
 		observer: c.Observer, log: c.Log, margin: c.Margin,
-		streams: map[uint64]*stream{}, probes: map[uint64]probe{}}
+		streams: map[uint64]*stream{}, keys: map[string]struct{}{}, probes: map[uint64]probe{}}
 }
 
 // Open tells how many streams are owed an answer.
@@ -186,14 +189,22 @@
 // Tick sets the time of the turn that begins.
 func (c *Core) Tick(now time.Duration) { c.now = max(c.now, now) }
 
-// Arrive opens a stream and returns its id. The ids are the core's own: two clients may send the same.
+// Arrive opens a stream and returns its id, which is the core's own. It returns 0 and opens none where a
+// stream with the same key is open, or something of it is still out: upstream hosts would take one for a
+// second copy of the other.
 func (c *Core) Arrive(now time.Duration, r Request) uint64 {
 	c.Tick(now)
+	if r.Key != "" {
+		if _, taken := c.keys[r.Key]; taken {
+			return 0
+		}
+		c.keys[r.Key] = struct{}{}
+	}
 	c.lastID++
 	ev := r.RequestArrived
 	ev.ID = c.lastID
 	ev.ExpiresIn = max(0, ev.ExpiresIn-c.margin)
-	s := &stream{id: ev.ID, payload: r.Payload, owner: r.Owner, began: c.now, ends: c.now + ev.ExpiresIn,
+	s := &stream{id: ev.ID, key: r.Key, payload: r.Payload, owner: r.Owner, began: c.now, ends: c.now + ev.ExpiresIn,
 		class: ev.Class, plan: ev.Plan}
 	c.streams[s.id] = s
 	c.open++
@@ -213,6 +224,17 @@
 	}
 }
 
+// Abandon ends every stream that is still open, for there is no time left to wait for its answer.
+func (c *Core) Abandon(now time.Duration) {
+	c.Tick(now)
+	for _, s := range c.streams {
+		if !s.closed {
+			c.end(s, End{Kind: Expired})
+			c.events = append(c.events, admission.ClientLeft{ID: s.id})
+		}
+	}
+}
+
 // UpstreamEnded takes the outcome of an upstream request. The first good answer is the stream's.
 func (c *Core) UpstreamEnded(now time.Duration, ref Ref, o admission.Outcome, a Answer) {
 	c.Tick(now)
@@ -435,5 +457,6 @@
 	if s.closed && s.live == 0 {
 		s.payload = nil
 		delete(c.streams, s.id)
+		delete(c.keys, s.key)
 	}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -217,3 +217,30 @@
 	require.Equal(t, admission.ProbeEnded{Server: "h", Took: probeLimit, Outcome: admission.TimedOut}, s.seen[2])
 	require.Equal(t, []string{"close h", "refetch", "probe", "cancel"}, w.told)
 }
+
+// Upstream hosts know requests by their keys: while anything of a stream is out, no other has its key.
+func TestAKeyIsOpenOnce(t *testing.T) {
+	c, _, w, _ := setUp(sends)
+	r := w.request(100 * ms)
+	r.Key = "k"
+	id := c.Arrive(0, r)
+	c.Turn(0)
+	require.Zero(t, c.Arrive(0, r))
+	c.Leave(0, id)
+	require.Zero(t, c.Arrive(0, r), "its upstream request is still out")
+	c.UpstreamEnded(0, Ref{id, 0}, admission.OK, Answer{})
+	require.NotZero(t, c.Arrive(0, r))
+}
+
+// When the process must end, what is still open is answered, once, and not as a refusal.
+func TestAbandon(t *testing.T) {
+	c, _, w, _ := setUp(sends)
+	c.Arrive(0, w.request(100*ms))
+	c.Turn(0)
+	c.Abandon(50 * ms)
+	c.Turn(50 * ms)
+	require.Equal(t, []End{{Kind: Expired, Sent: true}}, w.ends)
+	require.Zero(t, c.Open())
+	c.Turn(200 * ms)
+	require.Len(t, w.ends, 1)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,11 +39,46 @@
 	return m
 }
 
-// Open opens the stream of a request.
-func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) {
-	c.Stream = s.Arrive(c.Now(), core.Request{RequestArrived: a, Payload: Message(r), Owner: o})
+// once are the fields that upstream hosts or we decide by. Of two, each reader may take another.
+var once = [...]string{"Request-Id", "Request-Class", "Request-Timeout", "Idempotency-Key", "X-Plan", "X-Quota",
+	"Client-Retry", "Content-Type"}
+
+// Check tells what no front takes, whatever it says: what upstream hosts may read in another way than we do.
+func Check(r *http1.Request) error {
+	for _, name := range once {
+		if r.Headers.Count(name) > 1 {
+			return fmt.Errorf("%s is there twice", name)
+		}
+	}
+	id := r.Headers.Get("Request-Id")
+	if len(id) > idMost {
+		return fmt.Errorf("Request-Id is over %d bytes", idMost)
+	}
+	for _, text := range []string{id, r.Headers.Get("Idempotency-Key"), r.Target} {
+		if strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
+			return fmt.Errorf("%q holds what is no visible character", text)
+		}
+	}
+	if r.Method == "GET" && len(r.Body) > 0 {
+		return fmt.Errorf("a GET has no body")
+	}
+	return nil
+}
+
+// idMost bounds an id; we keep those of open streams.
+const idMost = 256
+
+// Open opens the stream of a request. It tells whether that was possible: no request may have the id of
+// another that is open.
+func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) bool {
+	c.Stream = s.Arrive(c.Now(), core.Request{RequestArrived: a, Key: r.Headers.Get("Request-Id"), Payload: Message(r),
+		Owner: o})
+	return c.Stream != 0
 }
 
+// OpenAlready says so of an id.
+const OpenAlready = "a request with this Request-Id is open"
+
 // Serve answers with what an upstream host answered.
 func Serve(c *downstream.Conn, a core.Answer) {
 	var h http1.Headers
@@ -61,9 +96,9 @@
 	return 429
 }
 
-// Customer reads the customer's number: 16 hexadecimal digits, or fewer.
+// Customer reads the customer's number: 16 hexadecimal digits, or fewer, below 2^33.
 func Customer(text string) (uint64, bool) {
-	n, err := strconv.ParseUint(text, 16, 64)
+	n, err := strconv.ParseUint(text, 16, 33)
 	return n, err == nil && len(text) <= 16
 }
 
@@ -78,31 +113,41 @@
 		unit = time.Microsecond
 	}
 	f, err := strconv.ParseFloat(digits, 64)
-	if err != nil || !(f >= 0 && f <= 1e12) {
+	if err != nil || strings.Trim(digits, "0123456789.") != "" || f <= 0 || f > 1e12 {
 		return 0, false
 	}
 	return time.Duration(f * float64(unit)).Truncate(time.Microsecond), true
 }
 
 // Doors reads the platform's form of a quota, "units=2,spread=3,first=1", into whichever of the three
-// are wanted; fields that are not there leave them as they are.
-func Doors(text string, units, spread, first *int) error {
+// are wanted; fields that are not there leave them as they are. Each has a range of its own.
+func Doors(text string, set *admission.Settings, units, spread, first *int) error {
+	seen := map[string]bool{}
 	for field := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if seen[name] {
+			return fmt.Errorf("%s is there twice", name)
+		}
+		seen[name] = true
 		var into *int
+		least, most := 1, set.Gateways
 		switch name {
 		case "units":
-			into = units
+			if into = units; set.MaxUnits > 0 {
+				most = set.MaxUnits
+			} else {
+				most = 1e6
+			}
 		case "spread":
 			into = spread
 		case "first":
-			into = first
+			into, least, most = first, 0, set.Gateways-1
 		}
 		if into == nil {
 			continue
 		}
 		n, err := strconv.Atoi(value)
-		if err != nil || n < 0 || n > 1e6 {
+		if err != nil || n < least || n > most || strings.HasPrefix(value, "+") {
 			return fmt.Errorf("%s is %q", name, value)
 		}
 		*into = n
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -79,7 +79,9 @@
 	if r.Headers.Get("Request-Id") == "" { // the upstream hosts know requests by it
 		r.Headers = append(r.Headers, http1.Header{Name: "Request-Id", Value: fmt.Sprintf("%016x", rand.Uint64())})
 	}
-	front.Open(f.streams, c, a, r, owner{c})
+	if !front.Open(f.streams, c, a, r, owner{c}) {
+		problem(c, 409, nil, front.OpenAlready)
+	}
 }
 
 // Left tells the core that a client has gone.
@@ -92,6 +94,9 @@
 func (f *Front) read(r *http1.Request, rawQuery string, m routes.Match) (admission.RequestArrived, error) {
 	a := admission.RequestArrived{Class: m.Route.ClassIndex, Units: m.Route.Cost, Doors: f.settings.Gateways,
 		Write: r.Method != "GET"}
+	if err := front.Check(r); err != nil {
+		return a, err
+	}
 	query, err := url.ParseQuery(rawQuery)
 	if err != nil {
 		return a, fmt.Errorf("the query is malformed")
@@ -142,7 +147,7 @@
 		a.ExpiresIn = time.Minute
 	}
 	if doors := get(f.file.Doors); doors != "" {
-		if err := front.Doors(doors, nil, &a.Doors, &a.FirstDoor); err != nil {
+		if err := front.Doors(doors, &f.settings, nil, &a.Doors, &a.FirstDoor); err != nil {
 			return a, err
 		}
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -66,7 +66,9 @@
 		notAllowed(c, "POST")
 		return
 	}
-	front.Open(f.streams, c, a, r, owner{c})
+	if !front.Open(f.streams, c, a, r, owner{c}) {
+		local(c, 409, front.OpenAlready)
+	}
 }
 
 func notAllowed(c *downstream.Conn, allow string) {
@@ -87,6 +89,9 @@
 func (f *Front) read(r *http1.Request, path string) (admission.RequestArrived, error) {
 	var a admission.RequestArrived
 	var ok bool
+	if err := front.Check(r); err != nil {
+		return a, err
+	}
 	if r.Headers.Get("Request-Id") == "" {
 		return a, fmt.Errorf("Request-Id is missing")
 	}
@@ -108,15 +113,19 @@
 	}
 	a.ExpiresIn = class.Deadline
 	if t := r.Headers.Get("Request-Timeout"); t != "" {
-		if a.ExpiresIn, ok = front.Timeout(t); !ok {
+		wait, ok := front.Timeout(t)
+		if !ok {
 			return a, fmt.Errorf("Request-Timeout %q is no time", t)
 		}
+		if a.ExpiresIn == 0 || wait < a.ExpiresIn { // a stream must end some day, whatever its client says
+			a.ExpiresIn = wait
+		}
 	}
 	if a.ExpiresIn == 0 {
 		a.ExpiresIn = time.Minute
 	}
 	a.Units, a.Doors, a.FirstDoor = 1, f.settings.Gateways, 0
-	if err := front.Doors(r.Headers.Get("X-Quota"), &a.Units, &a.Doors, &a.FirstDoor); err != nil {
+	if err := front.Doors(r.Headers.Get("X-Quota"), &f.settings, &a.Units, &a.Doors, &a.FirstDoor); err != nil {
 		return a, fmt.Errorf("X-Quota: %w", err)
 	}
 	a.Retry = r.Headers.Get("Client-Retry") == "1"
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -17,8 +17,13 @@
 	BodyBytes  int // of a message's body
 
 	DownstreamIdle time.Duration // a client connection silent this long between requests is closed
-	HeadTime       time.Duration // in which a request that has begun must be whole
+	FirstTime      time.Duration // from connecting, in which a first request must be whole
+	HeadTime       time.Duration // in which a further request that has begun must be whole
+	FreshTime      time.Duration // for which a connection that was never served is left its place, however scarce
 	Linger         time.Duration // for which bytes of a closed connection are still read
+	LingerBytes    int           // and how many
+	Accepts        int           // connections accepted in a turn of the loop
+	Ahead          int           // requests that a client has sent ahead which one turn takes up
 	UpstreamIdle   time.Duration // an upstream connection idle this long is dropped
 	DialLimit      time.Duration // for a connection to come up
 
@@ -38,7 +43,8 @@
 
 	AnswerMargin time.Duration // before the client's own deadline, for the answer's way back
 	DrainAccept  time.Duration // after SIGTERM, for which new connections are still taken
-	DrainMost    time.Duration // after SIGTERM, at which the daemon ends whatever is open
+	DrainMost    time.Duration // after SIGTERM, at which what is still open is answered, and then the daemon ends
+	DrainFlush   time.Duration // for those answers' way out
 
 	TelemetryQueue int           // records, and spans, that may wait to be exported
 	TelemetryEvery time.Duration // between exports
@@ -60,7 +66,8 @@
 	l := Limits{
 		Sockets: s.Sockets, MemoryMB: s.MemoryMB,
 		HeadBytes: 16 << 10, BodyBytes: 64 << 10,
-		DownstreamIdle: 2 * time.Minute, HeadTime: 10 * time.Second, Linger: time.Second,
+		DownstreamIdle: 30 * time.Second, FirstTime: 2 * time.Second, HeadTime: 2 * time.Second,
+		FreshTime: 25 * time.Millisecond, Linger: time.Second, LingerBytes: 1 << 20, Accepts: 64, Ahead: 16,
 		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
 		CounterConns: 24, CounterPending: 48, CounterLimit: s.CounterLimit,
 		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second,
@@ -69,7 +76,8 @@
 		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
 		AnswerMargin:   8 * time.Millisecond,
 		DrainAccept:    700 * time.Millisecond,
-		DrainMost:      max(s.LongestDeadline, time.Second) + 500*time.Millisecond,
+		DrainMost:      s.LongestDeadline + 600*time.Millisecond, // the platform kills 100 ms later at the earliest
+		DrainFlush:     50 * time.Millisecond,
 		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
 	}
 	if l.UpstreamIdle <= 0 {
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"time"
 
 	"ferryfront.example/ferryfront/internal/limits"
@@ -27,11 +28,13 @@
 	log       *slog.Logger
 	listeners []*listener
 	conns     map[*Conn]struct{}
+	fresh     list // connections not served yet, the oldest first
 	idle      list // connections between requests, longest idle first
+	leaving   list // those whose answer is all that is left, the oldest first
 	paused    bool // listeners are not watched: no descriptors
 	draining  bool
-	closed    bool // no new connections
-	sweep     *loop.Timer
+	closed    bool          // no new connections
+	toldAt    time.Duration // when the operator was last told of a pause
 }
 
 type listener struct {
@@ -43,12 +46,12 @@
 // New returns a server without listeners.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger) *Server {
 	s := &Server{loop: l, lim: lim, log: log, conns: map[*Conn]struct{}{}}
-	s.sweep = l.After(sweepEvery, s.sweepIdle)
+	l.After(sweepEvery, s.sweep)
 	return s
 }
 
 // sweepEvery is how often connections are checked for having been silent too long.
-const sweepEvery = 2 * time.Second
+const sweepEvery = 250 * time.Millisecond
 
 // Listen opens a listener for a front.
 func (s *Server) Listen(addr string, f Front) error {
@@ -64,10 +67,12 @@
 	return nil
 }
 
-// Ready accepts what waits.
-func (ln *listener) Ready(uint32) {
+// Ready accepts what waits, up to a bound: those who connect by the hundred must not keep the others' answers.
+func (ln *listener) Ready(uint32) { ln.accept(ln.s.lim.Accepts) }
+
+func (ln *listener) accept(most int) {
 	s := ln.s
-	for {
+	for range most {
 		if len(s.conns) >= s.lim.Downstream && !s.makeRoom() {
 			s.pause("all connections busy")
 			return
@@ -92,17 +97,33 @@
 			return
 		}
 		s.conns[c] = struct{}{}
-		c.setIdle()
+		c.since, c.opened = s.loop.Now(), s.loop.Now()
+		s.fresh.push(c)
 	}
 }
 
-// makeRoom closes the connection that has stood idle longest, which a server may do between requests.
+// makeRoom closes the connection that is worth least: one that is ending, one that has shown no request for
+// some time since it connected, or else the one that has stood idle longest. A server may do that between
+// requests. The usual clients' come last, since each that is closed is a new one soon: as long as most places
+// are held by who has shown nothing yet, it is they who must go, and the next wait until they may.
 func (s *Server) makeRoom() bool {
-	if c := s.idle.first; c != nil && !c.parser.Begun() {
+	now := s.loop.Now()
+	if c := s.leaving.first; c != nil {
+		c.drop()
+		return true
+	}
+	if c := s.fresh.first; c != nil && now-c.since > s.lim.FreshTime {
 		c.finish()
 		c.drop()
 		return true
 	}
+	for c := s.idle.first; c != nil && s.fresh.n <= s.lim.Downstream/2; c = c.next {
+		if !c.parser.Begun() {
+			c.finish()
+			c.drop()
+			return true
+		}
+	}
 	return false
 }
 
@@ -112,13 +133,19 @@
 		return
 	}
 	s.paused = true
-	s.log.Warn("accepting paused", "connections", len(s.conns), "cause", why)
+	if now := s.loop.Now(); s.toldAt == 0 || now-s.toldAt > logEvery {
+		s.toldAt = now
+		s.log.Warn("accepting paused", "connections", len(s.conns), "cause", why)
+	}
 	for _, ln := range s.listeners {
 		ln.src.Want(0)
 	}
-	s.loop.After(100*time.Millisecond, s.resume)
+	s.loop.After(s.lim.FreshTime, s.resume)
 }
 
+// logEvery: a flood that pauses accepting again and again is told of so often.
+const logEvery = 10 * time.Second
+
 func (s *Server) resume() {
 	if s.paused && !s.closed {
 		s.paused = false
@@ -128,16 +155,20 @@
 	}
 }
 
-func (s *Server) sweepIdle() {
-	s.sweep = s.loop.After(sweepEvery, s.sweepIdle)
+func (s *Server) sweep() {
+	s.loop.After(sweepEvery, s.sweep)
 	now := s.loop.Now()
 	for c := range s.conns {
 		switch {
 		case c.lingering && now-c.since > s.lim.Linger:
 			c.drop()
 		case c.busy || c.lingering:
-		case c.parser.Begun() && now-c.since > s.lim.HeadTime:
-			c.malformed(408, "request not whole in time")
+		case !c.served && now-c.opened > s.lim.FirstTime, c.served && c.parser.Begun() && now-c.since > s.lim.HeadTime:
+			if c.parser.Begun() {
+				c.malformed(408, "request not whole in time")
+			} else {
+				c.finish()
+			}
 		case now-c.since > s.lim.DownstreamIdle:
 			c.finish()
 		}
@@ -153,7 +184,7 @@
 		return
 	}
 	for _, ln := range s.listeners {
-		ln.Ready(loop.In)
+		ln.accept(math.MaxInt)
 	}
 	s.closed = true
 	for _, ln := range s.listeners {
@@ -180,15 +211,18 @@
 	src        *loop.Source
 	front      Front
 	parser     *http1.RequestParser
-	out        []byte // not written yet
-	since      time.Duration
+	out        []byte        // not written yet
+	since      time.Duration // idle, or ending; of a request that has begun, its first byte
+	opened     time.Duration
+	served     bool // it has had an answer that is no complaint
+	dropped    int  // bytes read after the end
 	busy       bool // a request awaits its answer
 	head       bool // its method is HEAD
 	last       bool // close after the present answer
 	lingering  bool // our side has ended; what still comes is read and dropped
 	parsing    bool
-	prev, next *Conn // in the list of idle ones
-	listed     bool
+	prev, next *Conn // in the list that it is in
+	in         *list
 }
 
 // Now is the time of this turn.
@@ -196,7 +230,12 @@
 
 func (c *Conn) setIdle() {
 	c.since = c.s.loop.Now()
-	c.s.idle.push(c)
+	c.parser.Rest()
+	if c.served {
+		c.s.idle.push(c)
+	} else {
+		c.s.fresh.push(c)
+	}
 }
 
 // Ready reads, writes, or learns that the client has gone.
@@ -245,7 +284,11 @@
 	}
 	c.parsing = true
 	defer func() { c.parsing = false }()
-	for !c.busy && !c.lingering && c.src.FD() >= 0 {
+	for n := 0; !c.busy && !c.lingering && c.src.FD() >= 0; n++ {
+		if n == c.s.lim.Ahead { // the others have their turn
+			c.s.loop.After(time.Microsecond, c.parse)
+			break
+		}
 		req, err := c.parser.Next()
 		if err != nil {
 			status := 400
@@ -264,7 +307,7 @@
 		}
 		c.busy, c.head = true, req.Method == "HEAD"
 		c.last = c.last || req.Close
-		c.s.idle.remove(c)
+		c.unlist()
 		c.front.Request(c, req)
 	}
 	c.want()
@@ -287,7 +330,7 @@
 
 func (c *Conn) malformed(status int, what string) {
 	c.busy, c.last = true, true
-	c.s.idle.remove(c)
+	c.unlist()
 	c.front.Malformed(c, status, what)
 }
 
@@ -297,6 +340,7 @@
 		return
 	}
 	c.busy, c.Stream = false, 0
+	c.served = c.served || status < 400 || status == 429 || status >= 500
 	c.last = c.last || c.s.draining
 	if !c.write(http1.AppendResponse(nil, status, h, body, c.last, c.head)) {
 		return
@@ -351,7 +395,7 @@
 	if c.lingering || c.src.FD() < 0 {
 		return
 	}
-	c.s.idle.remove(c)
+	c.unlist()
 	c.lingering, c.since = true, c.s.loop.Now()
 	if len(c.out) == 0 {
 		c.endSending()
@@ -362,23 +406,22 @@
 func (c *Conn) endSending() {
 	if err := loop.EndSending(c.src.FD()); err != nil {
 		c.drop()
+		return
 	}
+	c.s.leaving.push(c)
 }
 
+// discard reads what still comes, one read a turn and not without end: a client that sends on and on must not
+// hold the loop.
 func (c *Conn) discard() {
-	buf := c.s.loop.Buf()
-	for c.src.FD() >= 0 {
-		_, err := loop.Read(c.src.FD(), buf)
-		if errors.Is(err, loop.ErrAgain) {
-			return
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(c.out) > 0 {
-				c.src.Want(loop.Out) // the client has ended its side and still takes the answer
-				return
-			}
-			c.drop()
-		}
+	n, err := loop.Read(c.src.FD(), c.s.loop.Buf())
+	c.dropped += n
+	switch {
+	case errors.Is(err, loop.ErrAgain):
+	case errors.Is(err, io.EOF) && len(c.out) > 0:
+		c.src.Want(loop.Out) // the client has ended its side and still takes the answer
+	case err != nil, c.dropped > c.s.lim.LingerBytes:
+		c.drop()
 	}
 }
 
@@ -397,17 +440,21 @@
 		return
 	}
 	c.src.Close()
-	c.s.idle.remove(c)
+	c.unlist()
 	delete(c.s.conns, c)
 	c.s.resume()
 }
 
 // list is a doubly linked list of connections.
-type list struct{ first, last *Conn }
+type list struct {
+	first, last *Conn
+	n           int
+}
 
 func (l *list) push(c *Conn) {
-	l.remove(c)
-	c.prev, c.next, c.listed = l.last, nil, true
+	c.unlist()
+	c.prev, c.next, c.in = l.last, nil, l
+	l.n++
 	if l.last != nil {
 		l.last.next = c
 	} else {
@@ -416,8 +463,10 @@
 	l.last = c
 }
 
-func (l *list) remove(c *Conn) {
-	if !c.listed {
+// unlist takes a connection out of its list, if it is in one.
+func (c *Conn) unlist() {
+	l := c.in
+	if l == nil {
 		return
 	}
 	if c.prev != nil {
@@ -430,5 +479,6 @@
 	} else {
 		l.last = c.prev
 	}
-	c.prev, c.next, c.listed = nil, nil, false
+	c.prev, c.next, c.in = nil, nil, nil
+	l.n--
 }
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -25,6 +25,16 @@
 	return ""
 }
 
+// Count tells how often a field is there.
+func (h Headers) Count(name string) (n int) {
+	for i := range h {
+		if len(h[i].Name) == len(name) && strings.EqualFold(h[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // hasToken tells whether a list field holds a token.
 func (h Headers) hasToken(name, token string) bool {
 	for i := range h {
@@ -87,9 +97,10 @@
 type reader struct {
 	headMost, bodyMost int
 
-	buf     []byte
-	scanned int  // bytes of buf known to hold no end of a head, or no end of a line
-	inBody  bool // the head has been read
+	room    []byte // what buf is a part of
+	buf     []byte // not parsed yet
+	scanned int    // bytes of buf known to hold no end of a head, or no end of a line
+	inBody  bool   // the head has been read
 	framing framing
 	left    int // of a sized body, or of the present chunk, which ends with CRLF
 	chunk   chunkState
@@ -106,8 +117,32 @@
 	chunkTrailer
 )
 
-// Feed appends bytes that have come.
-func (r *reader) Feed(b []byte) { r.buf = append(r.buf, b...) }
+// Feed appends bytes that have come. What has been parsed is left behind only here, and not with each
+// message: of hundreds that were sent ahead, each would move all the others.
+func (r *reader) Feed(b []byte) {
+	switch most := cap(r.room); {
+	case len(b) <= cap(r.buf)-len(r.buf):
+		r.buf = append(r.buf, b...)
+		return
+	case len(r.buf)+len(b) > most:
+		r.room = make([]byte, 0, max(len(r.buf)+len(b), 2*most))
+	}
+	r.buf = append(append(r.room[:0], r.buf...), b...)
+}
+
+// keepMost is what a connection may keep of its buffers while it is idle.
+const keepMost = 4 << 10
+
+// Rest lets go of what a long message needed. It is for a connection that goes idle, and ends the use of
+// the last message's body.
+func (r *reader) Rest() {
+	if len(r.buf) == 0 && cap(r.room) > keepMost {
+		r.room, r.buf = nil, nil
+	}
+	if !r.inBody && cap(r.body) > keepMost {
+		r.body = nil
+	}
+}
 
 // Buffered tells how many bytes wait to be parsed.
 func (r *reader) Buffered() int { return len(r.buf) }
@@ -116,7 +151,9 @@
 func (r *reader) Begun() bool { return r.inBody || len(r.buf) > 0 }
 
 func (r *reader) take(n int) {
-	r.buf = r.buf[:copy(r.buf, r.buf[n:])]
+	if r.buf = r.buf[n:]; len(r.buf) == 0 {
+		r.buf = r.room[:0]
+	}
 	r.scanned = 0
 }
 
--- a/internal/net/http1/http1_test.go
+++ b/internal/net/http1/http1_test.go
@@ -197,3 +197,22 @@
 		p.End()
 	})
 }
+
+// What was sent ahead stays where it is while the messages before it are taken: to move it for each would
+// cost the square of their number. And an idle connection keeps no large buffer.
+func TestMessagesSentAheadAreNotMoved(t *testing.T) {
+	p := NewRequestParser(1<<10, 1<<10)
+	text := "GET /a HTTP/1.1\r\nX: y\r\n\r\n"
+	p.Feed([]byte(strings.Repeat(text, 1000)))
+	last := &p.buf[len(p.buf)-1]
+	for i := range 1000 {
+		req, err := p.Next()
+		require.NoError(t, err)
+		require.Equal(t, "/a", req.Target)
+		if i < 999 {
+			require.Same(t, last, &p.buf[len(p.buf)-1])
+		}
+	}
+	p.Rest()
+	require.Nil(t, p.room)
+}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -272,7 +272,8 @@
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && c.busy && len(c.out) == 0 {
-				if resp := c.parser.End(); resp != nil {
+				// A good answer that ends with its connection can't be told from one that was cut off there.
+				if resp := c.parser.End(); resp != nil && resp.Status != 200 {
 					c.answer(resp)
 					return
 				}
@@ -318,6 +319,7 @@
 		}
 	}
 	c.p.ended(ref, probe, outcome(resp), answer)
+	c.parser.Rest()
 }
 
 // outcome tells what a response says of its request.
