Eject a host that gives three errors in a row

One host fails at once; observe took an error for a sign of life and nothing else, so pick found the fastest host with nothing out, and gave it the most.

--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -54,6 +54,7 @@
 	unitsTell   = 0.6                    // part of a request's work that goes with its units
 	respGain    = 0.15                   // EWMA weight of an answer's latency at a server
 	respMost    = 10.0                   // times the usual: more than this tells no more
+	errorsMost  = 3                      // errors in a row eject, and count as turned away;
 	turnGain    = 0.15                   // EWMA weight of an answer in the part that a server turns away;
 	turnMemory  = 5.0                    // seconds for which that is remembered of one that gets nothing,
 	turnMost    = 0.9                    // and no more than this is believed
@@ -920,6 +921,7 @@
 		g.throttle(took > lateAt*(r.due-r.at).Seconds())
 		s.heard = g.now
 		s.turn(g.now, 0)
+		s.errors = 0
 		s.thru.add(g.now, thruMemory)
 		g.served.add(g.now, thruMemory)
 		s.resp += respGain * (math.Min(respMost, took/e) - s.resp)
@@ -934,8 +936,12 @@
 		st.took += statGain * (took - st.took)
 		st.units += statGain * (r.units - st.units)
 		g.usual += statGain * (took - g.usual)
-	case Errored:
+	case Errored: // one that fails at once looks like the fastest of all
 		s.heard = g.now
+		if s.errors++; s.errors >= errorsMost {
+			s.turn(g.now, 1)
+			g.eject(s)
+		}
 	case Full:
 		s.heard = g.now
 		s.turn(g.now, 1)
--- a/admission/gateway_test.go
+++ b/admission/gateway_test.go
@@ -996,3 +996,28 @@
 		t.Fatalf("of 300 sent %d, blindly %d", foretold, blind)
 	}
 }
+
+// A server that fails at once looks like the fastest of all. Errors in a row must keep requests off it; one
+// among good answers is nothing, and the first good answer after it clears the count.
+func TestAServerThatOnlyErrsIsEjected(t *testing.T) {
+	for share, most := range map[uint64]int{1: 20, 4: 1000} { // each, or one in so many, is an error
+		d := newDesk(t, base(), "s1", "s2")
+		sent := map[string]int{}
+		for id := uint64(1); id <= 200; id++ {
+			d.ask(id, 2, free, 1) // unsafe: it is not repeated
+			s := one[Send](d)
+			sent[s.Server]++
+			d.wait(10 * ms)
+			if s.Server == "s1" && uint64(sent["s1"])%share == 0 {
+				d.do(AttemptEnded{ID: id, Server: "s1", Outcome: Errored, Took: ms})
+				d.look()
+				continue
+			}
+			d.end(id, 0, s.Server, OK)
+			d.look()
+		}
+		if sent["s1"] > most || most == 1000 && sent["s1"] < 60 {
+			t.Fatalf("one in %d errs: sent %v", share, sent)
+		}
+	}
+}
