Hold client connections under a quarter of the descriptors, so that idle ones make room

Client connections stood at our bound (155 of 384 descriptors) from second 3; throughput was high only in the seconds in which idle ones were evicted.

Clients may hold a third of the descriptors (128), also by connections that ask once and stay. limits.For gave them 155 places: they ran out before we ever made room, and nobody else could connect. The bound is now a quarter, so the longest idle goes first.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -54,6 +54,9 @@
 // listeners, discovery, telemetry's exporters, the runtime's own.
 const reserve = 48
 
+// downstreamPart of all descriptors, in percent, are for clients at the most.
+const downstreamPart = 25
+
 // Site is what the configuration tells of the machine and of its peers.
 type Site struct {
 	Sockets, MemoryMB                  int
@@ -93,7 +96,9 @@
 	if free < 32 {
 		return Limits{}, fmt.Errorf("limits.sockets is %d, need at least %d", l.Sockets, reserve+l.CounterConns+32)
 	}
-	l.Downstream = free / 2
+	// All clients together hold at most a third of the descriptors. Connections that stand idle for good count
+	// there: if that third were reached before our own bound, nobody could connect and we would close nothing.
+	l.Downstream = min(free/2, l.Sockets*downstreamPart/100)
 	l.Upstream = free - l.Downstream
 	return l, nil
 }
