Let what other doors took of late stand through an outage of the counter

The log has the counter lost from 5.5 to 12.6 s. decideAlone then counted each unit for every door (heft), which refuses dealers that come unevenly, while customer.take still knew what the others had taken. Where few could ask before the outage and totals were seen, the mirror now goes on foretelling; elsewhere the old guard stays.

--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -216,6 +216,11 @@
 	return c
 }
 
+// foretells tells whether a customer's mirror takes off what other doors take, by what they took of late.
+func (g *Gateway) foretells(c *customer) bool {
+	return g.s.HasCounter && g.asked < foretellAt && (!g.open || c.take > 0)
+}
+
 // refill brings the mirror of the store up to now. What the other doors take meanwhile is taken off as their
 // totals last showed, and put right by the next total. Without it a door that seldom asks sees none of that
 // until then, and of a window's last part nothing ever. A door is left its even part of the rate at least,
@@ -224,7 +229,7 @@
 	span := (g.now - c.levelAt).Seconds()
 	taken := 0.0
 	// While all ask, totals are fresh; without a counter what is sent from here stands for all doors.
-	if g.asked < foretellAt && !g.open && g.s.HasCounter {
+	if g.foretells(c) {
 		taken = span * math.Min(c.take, c.plan.Rate*(1-1/c.doors))
 	}
 	c.level = math.Min(c.plan.Burst, c.level+c.plan.Rate*span-taken)
@@ -552,7 +557,7 @@
 	over := r.over
 	g.refill(c)
 	heft := 1.0
-	if g.open || !g.s.HasCounter {
+	if (g.open || !g.s.HasCounter) && !g.foretells(c) {
 		heft = c.doors
 	}
 	if p.Rate > 0 && !(c.sparse(r.units) && g.s.HasCounter) {
--- a/admission/gateway_test.go
+++ b/admission/gateway_test.go
@@ -1065,3 +1065,29 @@
 		t.Fatalf("%d of 200 ask a counter with room", n)
 	}
 }
+
+// While the counter is lost, where few could ask before, a door goes by what the others took of late. To count
+// each of its own units for every door refuses a customer that comes through one door nearly alone.
+func TestWhatOthersTookOfLateHoldsThroughAnOutage(t *testing.T) {
+	s := base()
+	s.Plans[rate].Rate, s.Plans[rate].Burst = 10, 20
+	run := func(asked float64) (sent int) {
+		d := newDesk(t, s, "s1", "s2", "s3")
+		c := d.g.customer(5, rate, 2)
+		c.take = 1
+		for id := uint64(1); id <= 160; id++ { // eight a second for 20 s
+			d.g.open, d.g.nextProbe, d.g.asked = true, d.now+time.Hour, asked
+			d.wait(125 * ms)
+			d.ask(id, 0, rate, 1)
+			for _, snd := range find[Send](d.look()) {
+				sent++
+				d.end(id, 0, snd.Server, OK)
+				d.look()
+			}
+		}
+		return sent
+	}
+	if known, blind := run(0), run(1); known < 150 || blind > 130 {
+		t.Fatalf("of 160 within the quota sent %d, blindly %d", known, blind)
+	}
+}
