--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -31,7 +31,8 @@
 	conns []*conn
 	old   []*conn            // to where the counter was before; they take no new calls
 	turns map[string][]*call // calls not told, by name
-	lost  bool               // told to the operator
+	lost  bool               // told to the operator...
+	told  time.Duration      // ...at this time
 }
 
 // New returns a client. SetSink must follow before the first call.
@@ -77,6 +78,9 @@
 // SetSink names who is told of answers.
 func (c *Client) SetSink(s Sink) { c.sink = s }
 
+// logEvery: a counter that spoils answer after answer is told of so often.
+const logEvery = 10 * time.Second
+
 // sweepEvery is how often idle and silent connections are looked for.
 const sweepEvery = 500 * time.Millisecond
 
@@ -314,8 +318,8 @@
 func (k *conn) lost(why string) {
 	k.backoff = min(max(2*k.backoff, k.c.lim.BackoffFirst), k.c.lim.BackoffMost)
 	k.notBefore = k.c.loop.Now() + k.backoff
-	if !k.c.lost {
-		k.c.lost = true
+	if now := k.c.loop.Now(); !k.c.lost && (k.c.told == 0 || now-k.c.told > logEvery) {
+		k.c.lost, k.c.told = true, now
 		k.c.log.Warn("counter connection lost", "cause", why)
 	}
 }
--- a/internal/net/counter/counter_test.go
+++ b/internal/net/counter/counter_test.go
@@ -135,6 +135,7 @@
 // An answer without a number: the amount was added, and nothing behind it on the connection can be trusted.
 func TestAnAnswerWithoutANumberEndsItsConnection(t *testing.T) {
 	closed := make(chan struct{})
+	var log strings.Builder
 	d, c := setUp(t, func(conn net.Conn) {
 		b := make([]byte, 256)
 		_, _ = conn.Read(b)
@@ -152,6 +153,12 @@
 	require.NoError(t, d.l.Run(d))
 	require.Equal(t, []admission.Outcome{admission.TimedOut, admission.TimedOut}, outcomes(d.got))
 	<-closed
+	c.log = slog.New(slog.NewTextHandler(&log, nil))
+	for range 5 { // lost and back again and again: told of now and then
+		c.lost = false
+		c.conns[0].lost("spoilt")
+	}
+	require.Empty(t, log.String(), "it was told a moment ago")
 }
 
 // After a move new calls go to the new address; the one that is out still gets its answer at the old, and
