Bounded subsets of hosts for each door; watches at discovery spread and backed off by fleet size

At fault: pick in servers.go weighs all hosts at every door; retry in discovery.go backs off to 0.5 s whatever the size of the fleet.

Change: a door uses a subset of 8 hosts, or as many as give each host 8 doors, which is all of them up to 8 doors and 12 hosts. Slowness of a host not heard fades: with few hosts a door would else find all too slow to ask for good. First watches are spread over 3 ms a door, further ones backed off to 100 ms a door, at random instants.

--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -151,6 +151,7 @@
 // observe learns of a server from the end of an attempt.
 func (g *Gateway) observe(t *attempt, r *request, ev AttemptEnded) {
 	s, e, took := t.s, g.expected(r), ev.Took.Seconds()
+	s.resp = s.slowness(g.now)
 	if i := slices.Index(s.out, t.at); i >= 0 {
 		s.out = slices.Delete(s.out, i, i+1)
 	}
@@ -159,7 +160,7 @@
 		g.unheard -= lostGain * g.unheard
 		g.throttle(took > lateAt*(r.due-r.at).Seconds())
 		s.heard = g.now
-		s.turn(g.now, 0)
+		s.turned.Learn(g.now, turnMemory, turnGain, 0)
 		s.errors, s.broken = 0, 0
 		s.thru.add(g.now, thruMemory)
 		g.served.add(g.now, thruMemory)
@@ -178,12 +179,12 @@
 	case Errored: // one that fails at once looks like the fastest of all
 		s.heard = g.now
 		if s.errors++; s.errors >= errorsMost {
-			s.turn(g.now, 1)
+			s.turned.Learn(g.now, turnMemory, turnGain, 1)
 			g.eject(s)
 		}
 	case Full:
 		s.heard = g.now
-		s.turn(g.now, 1)
+		s.turned.Learn(g.now, turnMemory, turnGain, 1)
 		s.turnTook += respGain * (took - s.turnTook)
 	case TimedOut:
 		g.unheard += lostGain * (1 - g.unheard)
--- /dev/null
+++ b/admission/estimate/estimate.go
@@ -0,0 +1,37 @@
+// Package estimate holds what is believed of hosts from few and old observations. It is free of I/O and
+// decides nothing.
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// Fade is what is left of a belief after some time in which nothing was seen, its memory in seconds.
+func Fade(unseen time.Duration, memory float64) float64 {
+	return math.Exp(-max(0, unseen).Seconds() / memory)
+}
+
+// Fading is an average that goes back to 0, what is taken for granted, while nothing is seen.
+type Fading struct {
+	V  float64
+	At time.Duration // when V was the average
+}
+
+// Now is the average at a time, with a memory in seconds.
+func (f Fading) Now(now time.Duration, memory float64) float64 { return f.V * Fade(now-f.At, memory) }
+
+// Learn takes in what was seen, with the weight gain.
+func (f *Fading) Learn(now time.Duration, memory, gain, seen float64) {
+	v := f.Now(now, memory)
+	f.V, f.At = v+gain*(seen-v), now
+}
+
+// Warmth is the part of its capacity that a host surely has, which started at boot (0: long ago) with the part
+// from and comes up evenly in the time full, or faster. A full of 0 is no time.
+func Warmth(now, boot, full time.Duration, from float64) float64 {
+	if boot == 0 || full <= 0 || now-boot >= full {
+		return 1
+	}
+	return from + (1-from)*max(0, (now-boot).Seconds())/full.Seconds()
+}
--- /dev/null
+++ b/admission/fleet_test.go
@@ -0,0 +1,120 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A fleet is many gateways in one process before plain hosts that answer as told, with all times the same.
+type fleet struct {
+	doors []*desk
+	hosts []ServerEntry
+	id    uint64
+	sends map[string]int          // by host, of all doors together
+	users map[string]map[int]bool // doors that have sent to a host
+	ends  map[time.Duration][]func()
+}
+
+func newFleet(t *testing.T, gateways, hosts int) *fleet {
+	f := &fleet{sends: map[string]int{}, users: map[string]map[int]bool{}, ends: map[time.Duration][]func(){}}
+	for i := range hosts {
+		f.hosts = append(f.hosts, ServerEntry{Name: fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), Zone: "a", Size: 1})
+	}
+	for me := range gateways {
+		s := base()
+		s.Gateways, s.Me = gateways, me
+		d := newDesk(t, s)
+		d.do(ServerList{Kind: ListFull, Servers: f.hosts})
+		f.doors = append(f.doors, d)
+	}
+	return f
+}
+
+// run gives the doors a request each in turn, n in all, so far apart; took tells how and when a host answers.
+func (f *fleet) run(n int, apart time.Duration, took func(host string) (Outcome, time.Duration)) {
+	now := f.doors[0].now
+	for i := range n {
+		for end := now + apart; now < end; now += ms {
+			due := f.ends[now]
+			delete(f.ends, now)
+			for _, over := range due {
+				over()
+			}
+		}
+		f.id++
+		f.give(i%len(f.doors), now, RequestArrived{ID: f.id, Plan: -1, ExpiresIn: time.Second, Units: 1}, took)
+	}
+	for _, d := range f.doors {
+		d.now = now
+	}
+}
+
+func (f *fleet) give(me int, now time.Duration, ev Event, took func(string) (Outcome, time.Duration)) {
+	for _, x := range find[Send](append([]Action(nil), f.doors[me].g.Handle(now, ev)...)) {
+		f.sends[x.Server]++
+		if f.users[x.Server] == nil {
+			f.users[x.Server] = map[int]bool{}
+		}
+		f.users[x.Server][me] = true
+		o, after := took(x.Server)
+		end := AttemptEnded{ID: x.ID, Server: x.Server, Outcome: o, Took: after, Done: o == OK,
+			Attempt: len(f.doors[me].g.requests[x.ID].tries) - 1}
+		at := now + max(ms, after)
+		f.ends[at] = append(f.ends[at], func() { f.give(me, at, end, took) })
+	}
+}
+
+// At many doors a full mesh of connections fills every host's table, and no door learns of any host.
+func TestEachHostIsUsedByItsShareOfTheDoors(t *testing.T) {
+	for _, size := range []struct{ doors, hosts int }{{10, 12}, {80, 60}, {300, 60}} {
+		f := newFleet(t, size.doors, size.hosts)
+		f.run(40*size.doors, max(ms, 1000*ms/time.Duration(10*size.doors)),
+			func(string) (Outcome, time.Duration) { return OK, 60 * ms })
+		share := f.doors[0].g.near * size.doors / size.hosts
+		for _, h := range f.hosts {
+			if n := len(f.users[h.Name]); n == 0 || n > share*3/2+2 {
+				t.Errorf("%d doors, %d hosts: host %s is used by %d doors, its share is %d", size.doors, size.hosts,
+					h.Name, n, share)
+			}
+		}
+	}
+}
+
+// Few doors use all hosts, as ever: what they learn of each is enough.
+func TestFewDoorsUseAllHosts(t *testing.T) {
+	f := newFleet(t, 3, 12)
+	f.run(600, 20*ms, func(string) (Outcome, time.Duration) { return OK, 60 * ms })
+	for _, h := range f.hosts {
+		if len(f.users[h.Name]) != 3 {
+			t.Errorf("host %s is used by %d of 3 doors", h.Name, len(f.users[h.Name]))
+		}
+	}
+}
+
+// Half of the hosts are gone and no list has said so: each door looks for others, and finds them, by few sends.
+func TestASubsetOfDeadHostsIsWidened(t *testing.T) {
+	f := newFleet(t, 80, 60)
+	dead := map[string]bool{}
+	for i, h := range f.hosts {
+		dead[h.Name] = i%2 == 0
+	}
+	answer := func(host string) (Outcome, time.Duration) {
+		if dead[host] {
+			return Unreachable, ms
+		}
+		return OK, 60 * ms
+	}
+	f.run(1600, ms, answer)
+	clear(f.sends)
+	f.run(1600, ms, answer)
+	lost, all := 0, 0
+	for name, n := range f.sends {
+		if all += n; dead[name] {
+			lost += n
+		}
+	}
+	if all < 1500 || lost > all/3 {
+		t.Errorf("%d of %d sends went to dead hosts though each door had met them", lost, all)
+	}
+}
--- a/admission/gateway_test.go
+++ b/admission/gateway_test.go
@@ -948,7 +948,7 @@
 		t.Fatalf("sent %v", sent)
 	}
 	// Once nothing was sent there for long, it is as good as any again.
-	if s := d.g.servers["s1"]; s.turned == 0 || s.turnedBy(d.now+time.Minute) > 0.01 {
+	if s := d.g.servers["s1"]; s.turned.V == 0 || s.turnedBy(d.now+time.Minute) > 0.01 {
 		t.Fatalf("turned away is remembered for ever: %v", s.turned)
 	}
 }
--- a/admission/servers.go
+++ b/admission/servers.go
@@ -7,12 +7,16 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
+	"ferryfront.example/ferryfront/admission/rendezvous"
 )
 
 const (
 	firstGuess  = 0.1                    // seconds: a latency before any was seen
 	unitsTell   = 0.6                    // part of a request's work that goes with its units
 	respGain    = 0.15                   // EWMA weight of an answer's latency at a server
+	respMemory  = 60.0                   // seconds for which it is remembered of one that gets nothing
 	respMost    = 10.0                   // times the usual: more than this tells no more
 	errorsMost  = 3                      // errors in a row eject, and count as turned away;
 	turnGain    = 0.15                   // EWMA weight of an answer in the part that a server turns away;
@@ -34,6 +38,8 @@
 	mostLost    = 0.5                    // more than this is no loss of answers: it counts as late, too
 	admitLeast  = 0.01                   // of requests are admitted, however late the answers: to see it end
 	leastOut    = 6.0                    // attempts that all gateways together may always have at a server
+	leastHosts  = 8                      // a door's subset: hosts that it uses while all is well,
+	leastDoors  = 8                      // and so many that each host is used by this many doors
 	fillAim     = 0.15                   // of the aim left: what a server holds must be answered within it
 )
 
@@ -69,25 +75,33 @@
 		delete(g.servers, s.Name)
 		return true
 	})
+	g.rank()
 	g.recheck()
 }
 
+// rank orders the servers that are up by this door's preference. A door uses the first few that it can: at
+// many doors each would else have its connections to all, and so few requests at one that it learns of none. It
+// harms where the few are all bad and the door has not found out yet.
+func (g *Gateway) rank() {
+	up := slices.DeleteFunc(slices.Clone(g.ring), func(s *server) bool { return s.State != Up })
+	g.near = max(leastHosts, (leastDoors*len(up)+g.s.Gateways-1)/g.s.Gateways)
+	name := func(s *server) string { return s.Name }
+	g.order = rendezvous.Sort(up, name, g.s.Me, g.s.Gateways, g.near)
+}
+
 // warmth is the part of its capacity that a server surely has.
 func (g *Gateway) warmth(s *server) float64 {
-	if s.coldAt == 0 || g.s.ColdFor <= 0 || g.now-s.coldAt >= g.s.ColdFor {
-		return 1
-	}
-	return g.s.ColdFrom + (1-g.s.ColdFrom)*math.Max(0, (g.now-s.coldAt).Seconds())/g.s.ColdFor.Seconds()
+	return estimate.Warmth(g.now, s.coldAt, g.s.ColdFor, g.s.ColdFrom)
 }
 
-// lotAllows: slow start by lots. Each attempt draws one server of the ring; a cold one may take only
-// what its lot brings, and of that its warmth's part. So it gets that part of a fair share of what all
-// gateways send, however many there are and whenever they started, with no store and no floor that
-// would add up over them. A held request keeps its lot. It harms when all are cold at once: then only
-// that part of the requests is sent.
-func (g *Gateway) lotAllows(r *request, i int) bool {
-	w, lot := g.warmth(g.ring[i]), r.lot*float64(len(g.ring))
-	return w >= 1 || int(lot) == i && lot-float64(i) < w
+// lotAllows: slow start by lots. Each attempt draws one place among those that a door uses; a cold server may
+// take only what the lot of its place brings, and of that its warmth's part. So it gets that part of a fair
+// share of what all gateways send, however many there are and whenever they started, with no store and no
+// floor that would add up over them. A held request keeps its lot. It harms when all are cold at once: then
+// only that part of the requests is sent.
+func (g *Gateway) lotAllows(r *request, s *server, place int) bool {
+	w, lot := g.warmth(s), r.lot*float64(min(g.near, len(g.order)))
+	return w >= 1 || int(lot) == place && lot-float64(place) < w
 }
 
 // limit is how many attempts of this gateway a server may hold: what it answers within the time given
@@ -118,12 +132,13 @@
 // answers the rest as ever, so by latency alone it looks as good as any. It harms when the limit has ended
 // and nothing was sent there since, hence the memory.
 func (s *server) turnedBy(now time.Duration) float64 {
-	return math.Min(turnMost, s.turned*math.Exp(-(now-s.turnedAt).Seconds()/turnMemory))
+	return min(turnMost, s.turned.Now(now, turnMemory))
 }
 
-func (s *server) turn(now time.Duration, away float64) {
-	part := s.turnedBy(now)
-	s.turned, s.turnedAt = part+turnGain*(away-part), now
+// slowness is a server's latency over the usual. Of one not heard it goes back to 1: else a door whose few
+// servers were all slow would find each too slow to ask, and never hear that they are not.
+func (s *server) slowness(now time.Duration) float64 {
+	return 1 + (s.resp-1)*estimate.Fade(now-max(s.heard, s.ejected), respMemory)
 }
 
 func (g *Gateway) expected(r *request) float64 {
@@ -137,27 +152,31 @@
 // pick returns the server with the least expected wait for a request, and that wait in seconds. Where
 // all are shunned that is not trusted.
 func (g *Gateway) pick(r *request) (*server, float64) {
-	trust := slices.ContainsFunc(g.ring, func(s *server) bool { return s.State == Up && !g.shunned(s) })
+	trust := slices.ContainsFunc(g.order, func(s *server) bool { return !g.shunned(s) })
 	within := fillAim * math.Max(0, (r.due-g.now).Seconds())
 	if g.crowd() && g.live >= g.bulkhead(within) {
 		return nil, 0
 	}
 	var best *server
-	least := math.Inf(1)
-	for i, s := range g.ring {
+	least, place := math.Inf(1), -1
+	for _, s := range g.order {
 		n := float64(len(s.out))
-		if s.State != Up || !r.allows(s) || n >= g.limit(s, within) || !g.lotAllows(r, i) {
+		// Re-entry by trickle: one at a time, and none that could not be repeated.
+		unfit := g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe)
+		if !r.allows(s) || n >= g.limit(s, within) || trust && unfit {
 			continue
 		}
-		// Re-entry by trickle: one at a time, and none that could not be repeated.
-		if trust && (g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe)) {
+		if place++; place >= g.near { // the subset is widened by as many as can't be used
+			break
+		}
+		if !g.lotAllows(r, s, place) {
 			continue
 		}
 		if g.warmth(s) < 1 { // its lot, and all that it gets
 			return s, g.expected(r)
 		}
 		turned := s.turnedBy(g.now)
-		cost := (s.resp*(n+1) + turned*s.turnTook/g.usual) / (1 - turned)
+		cost := (s.slowness(g.now)*(n+1) + turned*s.turnTook/g.usual) / (1 - turned)
 		if s.Zone != g.s.Zone {
 			cost *= 1 + zonePenalty*g.s.CrossZone
 		}
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
 )
 
 // A gateway's state as plain values, for a successor process. Nothing here decides: a gateway that was
@@ -253,7 +255,7 @@
 	for _, s := range g.ring {
 		st.Servers = append(st.Servers, ServerHealth{Entry: s.ServerEntry, ColdAt: s.coldAt, Resp: s.resp,
 			Out: slices.Clone(s.out), Heard: s.heard, Ejected: s.ejected, Bad: s.bad, Errors: s.errors, Broken: s.broken,
-			Turned: s.turned, TurnedAt: s.turnedAt, TurnTook: s.turnTook, Thru: s.thru.state()})
+			Turned: s.turned.V, TurnedAt: s.turned.At, TurnTook: s.turnTook, Thru: s.thru.state()})
 	}
 	for _, r := range g.requests {
 		st.Requests = append(st.Requests, r.state())
@@ -323,14 +325,15 @@
 			g.press[i] = p.Press.evidence()
 		}
 	}
-	g.servers, g.ring = map[string]*server{}, nil
+	g.servers, g.ring, g.order = map[string]*server{}, nil, nil
 	for _, s := range st.Servers {
 		own := &server{ServerEntry: s.Entry, coldAt: s.ColdAt, resp: s.Resp, out: slices.Clone(s.Out), heard: s.Heard,
-			ejected: s.Ejected, bad: s.Bad, errors: s.Errors, broken: s.Broken, turned: s.Turned, turnedAt: s.TurnedAt,
-			turnTook: s.TurnTook, thru: s.Thru.decaying()}
+			ejected: s.Ejected, bad: s.Bad, errors: s.Errors, broken: s.Broken,
+			turned: estimate.Fading{V: s.Turned, At: s.TurnedAt}, turnTook: s.TurnTook, thru: s.Thru.decaying()}
 		g.servers[s.Entry.Name] = own
 		g.ring = append(g.ring, own)
 	}
+	g.rank()
 	for _, s := range st.Requests {
 		g.resumeRequest(s)
 	}
--- a/admission/state.go
+++ b/admission/state.go
@@ -30,6 +30,8 @@
 
 	servers map[string]*server
 	ring    []*server // in order of name
+	order   []*server // those that are up, in the order in which this door prefers them
+	near    int       // how many of them it uses while all is well
 	held    []*request
 	holdAt  time.Duration // the next recheck is set for this time
 	budget  float64       // for retries
--- a/admission/util.go
+++ b/admission/util.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
 )
 
 // Plumbing of the decision module: nothing here decides.
@@ -193,8 +195,7 @@
 	heard, ejected time.Duration   // last sign of life; kept off until
 	bad            int             // failures in a row
 	errors, broken int             // errors, and connections lost, since its last good answer
-	turned         float64         // part of what it gets that it turns away, EWMA...
-	turnedAt       time.Duration   // ...as of then...
+	turned         estimate.Fading // part of what it gets that it turns away...
 	turnTook       float64         // ...and after how many seconds, EWMA
 	thru           decaying        // answers
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -222,7 +222,7 @@
 	if d.counter != nil {
 		d.counter.SetSink(d.core)
 	}
-	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known)
+	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known, cfg.Seed)
 	d.server = downstream.New(l, cfg.Limits, d.log)
 	d.fronts = append(d.fronts, opening{cfg.Listen, platform.New(d.core, cfg.Settings, d.watcher.Known), func() {}})
 	if table != nil {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,6 +39,9 @@
 	ClusterBytes   int           // of one of discovery's messages
 	ClusterDial    time.Duration // for a watch's connection to come up
 	ClusterSilence time.Duration // a watch with nothing for this long is opened anew
+	ClusterSpread  time.Duration // over which a fleet's first watches are spread, each at an instant of its own
+	ClusterFirst   time.Duration // wait before a further watch after a failed one; doubles, and is then spread, too
+	ClusterMost    time.Duration // and the most of it
 	ReadyWait      time.Duration // after which the daemon is ready though discovery is silent
 
 	AnswerMargin time.Duration // before the client's own deadline, for the answer's way back
@@ -72,8 +75,18 @@
 	Sockets, MemoryMB                  int
 	IdleClose, DialLimit, CounterLimit time.Duration
 	LongestDeadline                    time.Duration
+	Gateways                           int // ingresses of the fleet, which share discovery and the counter
 }
 
+// Shares of what the whole fleet may ask of discovery, which is one service of fixed capacity: calls wait in
+// turn and fail when they have waited too long, and a failed one has cost it as much. An ingress alone takes
+// one of these for itself.
+const (
+	clusterSpread = 3 * time.Millisecond   // between first watches
+	clusterFirst  = 10 * time.Millisecond  // between watches after one failure each
+	clusterMost   = 100 * time.Millisecond // between watches when all have failed again and again
+)
+
 // For fills in the limits of a site.
 func For(s Site) (Limits, error) {
 	l := Limits{
@@ -87,14 +100,17 @@
 		CounterMove:  1500 * time.Millisecond,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
 		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
-		AnswerMargin: 8 * time.Millisecond,
-		DrainAccept:  700 * time.Millisecond,
-		DrainMost:    s.LongestDeadline + 600*time.Millisecond, // the platform kills 100 ms later at the earliest
-		DrainFlush:   50 * time.Millisecond,
-		HelloMost:    2 * time.Second, PrepareMost: 4 * time.Second, CopyMost: 20 * time.Second, FreezeMost: time.Second,
+		ClusterSpread: clusterSpread * time.Duration(max(0, s.Gateways-1)),
+		AnswerMargin:  8 * time.Millisecond,
+		DrainAccept:   700 * time.Millisecond,
+		DrainMost:     s.LongestDeadline + 600*time.Millisecond, // the platform kills 100 ms later at the earliest
+		DrainFlush:    50 * time.Millisecond,
+		HelloMost:     2 * time.Second, PrepareMost: 4 * time.Second, CopyMost: 20 * time.Second, FreezeMost: time.Second,
 		Probation: 2 * time.Second, HandoverBytes: 16 << 20, HandoverQueue: 256 << 10, CounterShared: 8,
 		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
 	}
+	l.ClusterFirst = max(l.BackoffFirst, clusterFirst*time.Duration(s.Gateways))
+	l.ClusterMost = max(l.BackoffMost, clusterMost*time.Duration(s.Gateways))
 	if l.UpstreamIdle <= 0 {
 		l.UpstreamIdle = 4 * time.Second
 	}
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -78,6 +79,7 @@
 	sink  Sink
 	hosts Hosts
 	json  fastjson.Parser
+	rng   *rand.Rand // spreads what all ingresses of a fleet would do at one instant
 
 	known   map[string]Entry
 	version uint64
@@ -105,16 +107,25 @@
 	silence *loop.Timer
 }
 
-// New returns a watcher that knows what was known before the start.
-func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string, sink Sink, hosts Hosts, known List) *Watcher {
+// New returns a watcher that knows what was known before the start. Its first watch is opened at an instant
+// of its own within ClusterSpread, told by the seed: a fleet that is released starts as one.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string, sink Sink, hosts Hosts, known List,
+	seed uint64) *Watcher {
 	w := &Watcher{loop: l, lim: lim, log: log, addr: addr, sink: sink, hosts: hosts, known: map[string]Entry{},
-		from: l.Now()}
+		from: l.Now(), rng: rand.New(rand.NewPCG(seed, seedOf))}
 	known.Full = true
 	w.apply(known, admission.ListCached)
+	if spread := w.rng.Float64() * float64(lim.ClusterSpread); spread >= 1 {
+		w.again = l.After(time.Duration(spread), w.dial)
+		return w
+	}
 	w.dial()
 	return w
 }
 
+// seedOf keeps our random numbers apart from the decision module's, which has the same seed.
+const seedOf = 0x64697363
+
 // Known tells whether the cluster is known: discovery has told it, or stays silent and the list from
 // before the start has to do.
 func (w *Watcher) Known() bool {
@@ -215,16 +226,18 @@
 	w.next = x
 }
 
-// retry opens a watch after a while, longer with each failure in a row. The operator is told of the first
+// retry opens a watch after a while, longer with each failure in a row, at a random instant of that while.
+// Discovery is one service for all ingresses: asked by all of them again and again it answers none in time,
+// and none of them ever hears the list. The operator is told of the first
 // of a spell, and of no more spells than are worth reading.
 func (w *Watcher) retry(why string) {
 	if now := w.loop.Now(); w.cur == nil && !w.lost && (w.lostAt == 0 || now-w.lostAt > logEvery) {
 		w.lost, w.lostAt = true, now
 		w.log.Warn("discovery watch lost", "cause", why)
 	}
-	w.backoff = min(max(2*w.backoff, w.lim.BackoffFirst), w.lim.BackoffMost)
+	w.backoff = min(max(2*w.backoff, w.lim.ClusterFirst), w.lim.ClusterMost)
 	w.again.Stop()
-	w.again = w.loop.After(w.backoff, w.dial)
+	w.again = w.loop.After(time.Duration((0.5+w.rng.Float64()/2)*float64(w.backoff)), w.dial)
 }
 
 // logEvery: discovery that breaks off again and again is told of so often.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -184,7 +184,11 @@
 func (in *Ingress) Put(b []byte, mode os.FileMode) error {
 	next := in.Binary + ".next"
 	_ = os.Remove(next) // of an earlier try
-	if err := os.WriteFile(next, b, mode); err != nil {
+	// A process started meanwhile would inherit the descriptor, and for that long the file could not be run.
+	syscall.ForkLock.RLock()
+	err := os.WriteFile(next, b, mode)
+	syscall.ForkLock.RUnlock()
+	if err != nil {
 		return err
 	}
 	return os.Rename(next, in.Binary)
