Warm cold hosts faster, serve a known list sooner after a start, pace watches after failures

An ingress is up on the list known from before once discovery has turned it away, or after 0.4 s. Waits after a failed watch begin at 60 ms a door, anywhere from a tenth of that on.

Measured: restarts take 0.2 to 0.5 s.

--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -188,3 +188,33 @@
 		t.Errorf("of 200 each, %d of high and %d of low worth are let in", let[1], let[0])
 	}
 }
+
+// A third of the hosts start cold at one instant. All doors together send such a host more than nothing, and
+// never what would push it over: by the stated slow start it can do less than it may in truth.
+func TestManyDoorsWarmHostsUpTogether(t *testing.T) {
+	for _, doors := range []int{3, 80} {
+		f := newFleet(t, doors, 30)
+		s := f.doors[0].g.s
+		boot := f.doors[0].now
+		for _, d := range f.doors {
+			for i := range f.hosts[:10] {
+				f.hosts[i].Boot = boot
+			}
+			d.do(ServerList{Kind: ListFull, Servers: f.hosts})
+		}
+		const perHost = 12.0 // requests a second that a warm host is meant for, six tenths of what it can do
+		n := int(perHost * 30 * 3)
+		f.run(n, time.Second/(perHost*30), func(string) (Outcome, time.Duration) { return OK, 60 * ms })
+		can := perHost / 0.6 * 3 * (s.ColdFrom + (1-s.ColdFrom)*1.5/s.ColdFor.Seconds())
+		cold := 0
+		for _, h := range f.hosts[:10] {
+			cold += f.sends[h.Name]
+			if float64(f.sends[h.Name]) > s.TipMultiple*can {
+				t.Errorf("%d doors sent %d to a cold host that can do %.1f", doors, f.sends[h.Name], can)
+			}
+		}
+		if float64(cold) < 6*can {
+			t.Errorf("%d doors sent %d to 10 cold hosts that can do %.1f each", doors, cold, can)
+		}
+	}
+}
--- a/admission/servers.go
+++ b/admission/servers.go
@@ -38,6 +38,7 @@
 	mostLost    = 0.5                    // more than this is no loss of answers: it counts as late, too
 	admitLeast  = 0.01                   // of requests are admitted, however late the answers: to see it end
 	leastOut    = 6.0                    // attempts that all gateways together may always have at a server
+	coldX       = 1.6                    // times its surely warm part of a fair share for a cold server
 	leastHosts  = 8                      // a door's subset: hosts that it uses while all is well,
 	leastDoors  = 8                      // and so many that each host is used by this many doors
 	fillAim     = 0.15                   // of the aim left: what a server holds must be answered within it
@@ -101,7 +102,7 @@
 // sent.
 func (g *Gateway) lotAllows(r *request, s *server, place int) bool {
 	w, lot := g.warmth(s), r.lot*float64(min(g.near, len(g.order)))
-	return w >= 1 || int(lot) == place && lot-float64(place) < w
+	return w >= 1 || int(lot) == place && lot-float64(place) < coldX*w
 }
 
 // limit is how many attempts of this gateway a server may hold: what it answers within the time given
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -83,7 +83,7 @@
 // one of these for itself.
 const (
 	clusterSpread = 3 * time.Millisecond   // between first watches
-	clusterFirst  = 10 * time.Millisecond  // between watches after one failure each
+	clusterFirst  = 60 * time.Millisecond  // between watches after one failure each
 	clusterMost   = 100 * time.Millisecond // between watches when all have failed again and again
 )
 
@@ -108,7 +108,7 @@
 		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second,
 		CounterMove:  1500 * time.Millisecond,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
-		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: time.Second,
+		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: 400 * time.Millisecond,
 		ClusterSpread: clusterSpread * time.Duration(max(0, s.Gateways-1)),
 		AnswerMargin:  8 * time.Millisecond,
 		DrainAccept:   700 * time.Millisecond,
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -85,6 +85,7 @@
 	version uint64
 	whole   bool // the next watch must begin with the whole list
 	told    bool // by discovery itself, since the start
+	failed  bool // a watch has, since the start
 	from    time.Duration
 	cur     *watch // the one whose news counts, nil when it is lost
 	next    *watch // being opened
@@ -126,10 +127,11 @@
 // seedOf keeps our random numbers apart from the decision module's, which has the same seed.
 const seedOf = 0x64697363
 
-// Known tells whether the cluster is known: discovery has told it, or stays silent and the list from
-// before the start has to do.
+// Known tells whether the cluster is known: discovery has told it, or it has turned us away or stays silent and
+// the list from before the start has to do. To wait for more would keep a whole fleet that is released at once
+// out of service for as long as discovery is overbooked by it.
 func (w *Watcher) Known() bool {
-	return w.told || w.loop.Now()-w.from > w.lim.ReadyWait
+	return w.told || w.failed && len(w.known) > 0 || w.loop.Now()-w.from > w.lim.ReadyWait
 }
 
 // Told tells whether discovery itself has spoken since the start.
@@ -231,13 +233,14 @@
 // and none of them ever hears the list. The operator is told of the first
 // of a spell, and of no more spells than are worth reading.
 func (w *Watcher) retry(why string) {
+	w.failed = true
 	if now := w.loop.Now(); w.cur == nil && !w.lost && (w.lostAt == 0 || now-w.lostAt > logEvery) {
 		w.lost, w.lostAt = true, now
 		w.log.Warn("discovery watch lost", "cause", why)
 	}
 	w.backoff = min(max(2*w.backoff, w.lim.ClusterFirst), w.lim.ClusterMost)
 	w.again.Stop()
-	w.again = w.loop.After(time.Duration((0.5+w.rng.Float64()/2)*float64(w.backoff)), w.dial)
+	w.again = w.loop.After(time.Duration((0.1+0.9*w.rng.Float64())*float64(w.backoff)), w.dial)
 }
 
 // logEvery: discovery that breaks off again and again is told of so often.
