Look seldom whether hosts that are away are back; a slow host's own lateness does not throttle

At 6 to 12 s, with 9 of 60 hosts slow, the throttle refused 45% of all tries, since one late answer in ten lowers it whosever it is. Ruled out: a host's warmth (no cold one yet), the counter (askShare as before).

At fault: pick in servers.go, where re-entry is bounded by host and not by door; observe in attempts.go, which throttles by late answers of hosts that are slow beside the others.

Change: one not reached, or that failed six times in a row, is away: it is kept off for 8 s, and a door looks at one such host a second, whatever their number, and never with a request that has failed elsewhere. Lateness of a host 1.4 times as slow as the mean of those in use does not throttle. Of a joint ceiling three tenths are for totals, and who has no part asks more often. Bookkeeping of arrivals, the list and usual work left the policy files.

--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -158,7 +158,7 @@
 	switch ev.Outcome {
 	case OK:
 		g.unheard -= lostGain * g.unheard
-		g.throttle(took > lateAt*(r.due-r.at).Seconds())
+		g.throttle(took > lateAt*(r.due-r.at).Seconds() && !g.outlier(s))
 		s.heard = g.now
 		s.turned.Learn(g.now, turnMemory, turnGain, 0)
 		s.errors, s.broken = 0, 0
@@ -169,12 +169,7 @@
 			s.bad, s.ejected = 0, 0
 			g.log(logMost, "server %s back", s.Name)
 		}
-		st := &g.stats[r.ci]
-		if st.took == 0 {
-			st.took, st.units = took, r.units
-		}
-		st.took += statGain * (took - st.took)
-		st.units += statGain * (r.units - st.units)
+		g.stats[r.ci].Learn(took, r.units, statGain)
 		g.usual += statGain * (took - g.usual)
 	case Errored: // one that fails at once looks like the fastest of all
 		s.heard = g.now
@@ -189,7 +184,7 @@
 	case TimedOut:
 		g.unheard += lostGain * (1 - g.unheard)
 		// Else the answer was lost, or one server is slow.
-		if g.unheard > mostLost || g.usual > slowAt*(r.due-r.at).Seconds() {
+		if !g.outlier(s) && (g.unheard > mostLost || g.usual > slowAt*(r.due-r.at).Seconds()) {
 			g.throttle(true)
 		}
 		if s.heard < t.at {
@@ -201,6 +196,7 @@
 			g.eject(s)
 		}
 	case Unreachable:
+		s.bad = max(s.bad, awayAt-1)
 		g.eject(s)
 	}
 }
@@ -221,8 +217,8 @@
 	if g.now < s.ejected {
 		return
 	}
-	if s.bad++; s.bad == 1 {
+	if s.bad++; s.bad == 1 || s.bad == awayAt {
 		g.log(logMost, "server %s ejected", s.Name)
 	}
-	s.ejected = g.now + min(ejectMost, ejectFirst<<min(s.bad-1, 8))
+	s.ejected = g.now + s.ejection()
 }
--- a/admission/ceiling.go
+++ b/admission/ceiling.go
@@ -10,8 +10,8 @@
 const (
 	slackUsed = 0.95 // of a ceiling's slack: the rest is for clocks and roundings
 	partLeast = 4.0  // of the largest requests: a smaller part is of little use where traffic is uneven
-	shownPart = 0.4  // of the store is left to what totals show, where parts would be smaller
-	needyAsks = 0.5  // power of the asking of who has no part of its own to go by
+	shownPart = 0.3  // of the store is left to what totals show, where parts would be smaller
+	needyAsks = 0.25 // power of the asking of who has no part of its own to go by
 )
 
 // deal splits a ceiling's store over a customer's doors: the parts add up to the whole and none lends, so no
--- a/admission/estimate/estimate.go
+++ b/admission/estimate/estimate.go
@@ -27,6 +27,27 @@
 	f.V, f.At = v+gain*(seen-v), now
 }
 
+// Work is the usual seconds and units of a kind of request, averages.
+type Work struct{ Took, Units float64 }
+
+// Learn takes in one answer, with the weight gain; the first counts in full.
+func (w *Work) Learn(took, units, gain float64) {
+	if w.Took == 0 {
+		w.Took, w.Units = took, units
+	}
+	w.Took += gain * (took - w.Took)
+	w.Units += gain * (units - w.Units)
+}
+
+// Expect is how many seconds so many units may take, of which the part tell goes with the units; before
+// anything was seen, the guess.
+func (w Work) Expect(units, tell, guess float64) float64 {
+	if w.Took == 0 {
+		return guess
+	}
+	return w.Took * (1 - tell + tell*units/w.Units)
+}
+
 // Warmth is the part of its capacity that a host surely has, which started at boot (0: long ago) with the part
 // from and comes up evenly in the time full, or faster. A full of 0 is no time.
 func Warmth(now, boot, full time.Duration, from float64) float64 {
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -20,7 +20,7 @@
 	source := rand.NewPCG(seed, 0)
 	return &Gateway{s: s, source: source, rng: rand.New(source), requests: map[uint64]*request{},
 		customers: map[uint64]*customer{}, calls: map[string][]*call{}, servers: map[string]*server{},
-		stats: make([]classStat, len(s.Classes)), press: make([]evidence, len(s.Plans)),
+		stats: make([]estimate.Work, len(s.Classes)), press: make([]evidence, len(s.Plans)),
 		thin:  estimate.Powers(s.Plans, Plan.stake),
 		shed:  estimate.Powers(s.Classes, func(c Class) float64 { return c.Worth * c.Worth }),
 		usual: firstGuess, outFor: firstGuess, callRate: 1, admit: 1,
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -140,15 +140,7 @@
 	if ev.Class < 0 || ev.Class >= len(g.s.Classes) || g.requests[ev.ID] != nil {
 		return
 	}
-	r := &request{id: ev.ID, class: &g.s.Classes[ev.Class], ci: ev.Class,
-		units: math.Max(1, float64(ev.Units)), at: g.now, deadline: g.now + ev.ExpiresIn,
-		lot: g.rng.Float64()}
-	r.due = min(r.at+r.class.Aim, r.deadline)
-	if e := ev.Earlier; e != nil { // then it is a repeat from the start
-		there := ServerEntry{Name: e.Server, Zone: e.Zone, Cell: e.Cell}
-		r.maybe, r.maybeAt = &server{ServerEntry: there}, e.At
-	}
-	g.requests[ev.ID] = r
+	r := g.enroll(ev)
 	g.budget = math.Min(budgetMost, g.budget+budgetGain)
 	if ev.Plan < 0 || ev.Plan >= len(g.s.Plans) {
 		g.route(r)
--- a/admission/servers.go
+++ b/admission/servers.go
@@ -5,7 +5,6 @@
 import (
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"ferryfront.example/ferryfront/admission/estimate"
@@ -24,6 +23,8 @@
 	turnMost    = 0.9                    // and no more than this is believed
 	statGain    = 0.02                   // EWMA weight of an answer in its class's usual latency
 	ejectFirst  = 500 * time.Millisecond // first ejection after a failure; doubles with each further
+	awayAt      = 6                      // failures in a row, or one that did not reach it: it is away
+	lookEvery   = time.Second            // between looks whether one that is away is back
 	ejectMost   = 8 * time.Second        // longest ejection, so that recovery is seen within it
 	silentX     = 4.0                    // times its expected time: an attempt out this long is silence
 	silentMin   = 250 * time.Millisecond // and at least this long
@@ -32,6 +33,7 @@
 	thruMemory  = 1.0                    // seconds over which answers are counted
 	lateAt      = 0.5                    // of the time it is of use for: an answer that took more is late,
 	lateCut     = 0.9                    // and this much of the admitting goes on;
+	outlierX    = 1.4                    // times the mean slowness of those in use: slow by itself
 	lateGain    = 0.01                   // each prompt answer brings this much back
 	slowAt      = 0.2                    // of that time usual for answers: attempts out of time count as late
 	lostGain    = 0.1                    // EWMA weight of an attempt in the part not answered in time;
@@ -59,11 +61,7 @@
 	for _, e := range ev.Servers {
 		s := g.servers[e.Name]
 		if s == nil {
-			s = &server{resp: 1, coldAt: e.Boot}
-			g.servers[e.Name] = s
-			at, _ := slices.BinarySearchFunc(g.ring, e.Name,
-				func(s *server, name string) int { return strings.Compare(s.Name, name) })
-			g.ring = slices.Insert(g.ring, at, s)
+			s = g.insert(e)
 		} else if e.Boot > s.Boot { // restarted within its id
 			s.coldAt, s.resp, s.bad, s.ejected = e.Boot, 1, 0, 0
 		}
@@ -129,6 +127,14 @@
 		g.now-s.out[0] > max(silentMin, seconds(silentX*s.resp*g.usual))
 }
 
+// mayLook tells whether it is time to see if a server that is away is back: one at a time, and seldom,
+// however many they are. Guards against a list so old that most requests would go to servers long gone.
+func (g *Gateway) mayLook() bool {
+	return !slices.ContainsFunc(g.order, func(s *server) bool {
+		return s.bad >= awayAt && (len(s.out) > 0 || g.now < s.ejected-s.ejection()+lookEvery)
+	})
+}
+
 // turnedBy is the part of what a server gets that it turns away. Guards against one that limits itself: it
 // answers the rest as ever, so by latency alone it looks as good as any. It harms when the limit has ended
 // and nothing was sent there since, hence the memory.
@@ -142,12 +148,17 @@
 	return 1 + (s.resp-1)*estimate.Fade(now-max(s.heard, s.ejected), respMemory)
 }
 
-func (g *Gateway) expected(r *request) float64 {
-	st := g.stats[r.ci]
-	if st.took == 0 {
-		return firstGuess
+// outlier tells whether a server is slow beside the others in use here: its lateness is then its own.
+func (g *Gateway) outlier(s *server) bool {
+	sum, n := 0.0, min(g.near, len(g.order))
+	for _, o := range g.order[:n] {
+		sum += o.slowness(g.now)
 	}
-	return st.took * (1 - unitsTell + unitsTell*r.units/st.units) // units tell of the work, in part
+	return s.slowness(g.now)*float64(n) > outlierX*sum
+}
+
+func (g *Gateway) expected(r *request) float64 {
+	return g.stats[r.ci].Expect(r.units, unitsTell, firstGuess)
 }
 
 // pick returns the server with the least expected wait for a request, and that wait in seconds. Where
@@ -163,7 +174,8 @@
 	for _, s := range g.order {
 		n := float64(len(s.out))
 		// Re-entry by trickle: one at a time, and none that could not be repeated.
-		unfit := g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe)
+		unfit := g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe) ||
+			s.bad >= awayAt && (len(r.tries) > 0 || !g.mayLook())
 		if !r.allows(s) || n >= g.limit(s, within) || trust && unfit {
 			continue
 		}
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -246,7 +246,7 @@
 		Served: g.served.state(), Unheard: g.unheard, Usual: g.usual, OutFor: g.outFor, Admit: g.admit,
 		LiveAttempts: g.live}
 	for i, c := range g.s.Classes {
-		st.Classes = append(st.Classes, ClassState{c.Name, g.stats[i].took, g.stats[i].units})
+		st.Classes = append(st.Classes, ClassState{c.Name, g.stats[i].Took, g.stats[i].Units})
 	}
 	for i, p := range g.s.Plans {
 		st.Plans = append(st.Plans, PlanState{p.Name, g.press[i].state()})
@@ -316,7 +316,7 @@
 	g.admit, g.live = st.Admit, st.LiveAttempts
 	for _, c := range st.Classes {
 		if i := g.class(c.Name); i >= 0 {
-			g.stats[i] = classStat{c.Took, c.Units}
+			g.stats[i] = estimate.Work{Took: c.Took, Units: c.Units}
 		}
 	}
 	for _, p := range st.Plans {
--- a/admission/util.go
+++ b/admission/util.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"ferryfront.example/ferryfront/admission/estimate"
@@ -60,6 +61,30 @@
 	return g.s.MaxAttempts > 0 && len(r.tries) >= g.s.MaxAttempts
 }
 
+// enroll books a request that has arrived. One of which an attempt may have run is a repeat from the start.
+func (g *Gateway) enroll(ev RequestArrived) *request {
+	r := &request{id: ev.ID, class: &g.s.Classes[ev.Class], ci: ev.Class,
+		units: math.Max(1, float64(ev.Units)), at: g.now, deadline: g.now + ev.ExpiresIn,
+		lot: g.rng.Float64()}
+	r.due = min(r.at+r.class.Aim, r.deadline)
+	if e := ev.Earlier; e != nil {
+		there := ServerEntry{Name: e.Server, Zone: e.Zone, Cell: e.Cell}
+		r.maybe, r.maybeAt = &server{ServerEntry: there}, e.At
+	}
+	g.requests[ev.ID] = r
+	return r
+}
+
+// insert books a server that the list names for the first time, in order of name.
+func (g *Gateway) insert(e ServerEntry) *server {
+	s := &server{resp: 1, coldAt: e.Boot}
+	g.servers[e.Name] = s
+	at, _ := slices.BinarySearchFunc(g.ring, e.Name,
+		func(s *server, name string) int { return strings.Compare(s.Name, name) })
+	g.ring = slices.Insert(g.ring, at, s)
+	return s
+}
+
 // begin books an attempt of a request at a server, from now on.
 func (g *Gateway) begin(r *request, s *server) {
 	r.sent = true
@@ -69,6 +94,9 @@
 	s.out = append(s.out, g.now)
 }
 
+// ejection is how long a server is kept off that has failed so often.
+func (s *server) ejection() time.Duration { return min(ejectMost, ejectFirst<<max(0, min(s.bad-1, 8))) }
+
 // over books an attempt's end and what it tells of its server. It returns nil, and does nothing, where no such
 // attempt is out.
 func (g *Gateway) over(r *request, ev AttemptEnded) *attempt {
