--- a/admission/servers.go
+++ b/admission/servers.go
@@ -164,7 +164,7 @@
 // pick returns the server with the least expected wait for a request, and that wait in seconds. Where
 // all are shunned that is not trusted.
 func (g *Gateway) pick(r *request) (*server, float64) {
-	trust := slices.ContainsFunc(g.order, func(s *server) bool { return !g.shunned(s) })
+	trust, look := slices.ContainsFunc(g.order, func(s *server) bool { return !g.shunned(s) }), g.mayLook()
 	within := fillAim * math.Max(0, (r.due-g.now).Seconds())
 	if g.crowd() && g.live >= g.bulkhead(within) {
 		return nil, 0
@@ -175,7 +175,7 @@
 		n := float64(len(s.out))
 		// Re-entry by trickle: one at a time, and none that could not be repeated.
 		unfit := g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe) ||
-			s.bad >= awayAt && (len(r.tries) > 0 || !g.mayLook())
+			s.bad >= awayAt && (len(r.tries) > 0 || !look)
 		if !r.allows(s) || n >= g.limit(s, within) || trust && unfit {
 			continue
 		}
--- a/cmd/ferryfront/process_test.go
+++ b/cmd/ferryfront/process_test.go
@@ -324,6 +324,31 @@
 	require.Contains(t, w.log.String(), "discovery message not read")
 }
 
+// A list of thousands, with ids repeated and addresses that can't be read, keeps what is good of it, and is
+// complained of once.
+func TestAHugeListWithAddressesThatCantBeRead(t *testing.T) {
+	w := newWorld(t)
+	many := w.serve(func(rw http.ResponseWriter, r *http.Request) { fmt.Fprint(rw, "many") })
+	w.start()
+	list := func(version int, addr string) string {
+		var entries []obj
+		for i := range 3000 {
+			entries = append(entries, entry(fmt.Sprintf("s%d-%d", i%10, i), addr, "Ready"))
+		}
+		return line(version, true, append(entries, entries[:200]...)...)
+	}
+	w.news <- list(6, "nowhere")
+	for range 2 { // what is told of once is met again and again
+		w.until(func() bool { return w.get(w.request("GET", "", "stock", nil)).status == 503 })
+	}
+	require.Equal(t, 1, strings.Count(w.log.String(), "upstream connection not opened"))
+	w.news <- list(7, many)
+	w.until(func() bool { return w.get(w.request("GET", "", "stock", nil)).body == "many" })
+	for range 100 {
+		require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+	}
+}
+
 // SIGHUP: discovery and counter have moved, and where they were nothing is heard any more. The new list
 // counts once it is told, no request fails meanwhile, and what can't be used changes nothing.
 func TestReload(t *testing.T) {
--- a/cmd/ferrysim/main_test.go
+++ b/cmd/ferrysim/main_test.go
@@ -42,7 +42,7 @@
 		tick + `{"Odd":{"gatekeeper":0}}`:  "no event known",
 		tick + `{"Ring":{"gatekeeper":0}}`: "not started",
 		tick + `{"ClientLeft":{"gatekeeper":5,"rid":1}}`:                                                   "gatekeeper 5, which has not started",
-		tick + `{"Born":{"gatekeeper":0,"params":` + strings.Replace(params, `"me":0`, `"me":7`, 1) + `}}`: "number 7 of 1",
+		tick + `{"Born":{"gatekeeper":0,"params":` + strings.Replace(params, `"me":0`, `"me":7`, 1) + `}}`: "params.me is 7, need 0 to 0",
 		tick + `{"Born":{"gatekeeper":0,"params":` + strings.Replace(params, `"me":0,`, ``, 1) + `}}`:      "me is missing",
 	} {
 		var out strings.Builder
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,16 +48,16 @@
 
 func TestErrorsNameTheField(t *testing.T) {
 	for says, change := range map[string][2]string{
-		"not JSON":                     {`{"name"`, `{name`},
-		"listen: ":                     {`127.0.0.1:8443`, `here`},
-		"discovery: ":                  {`127.0.0.2:8500`, ``},
-		"counter: ":                    {`127.0.0.3:6400`, `localhost:6400`},
-		"seed ":                        {`8c1f30d27a5be964`, `xyz`},
-		"limits is missing":            {`"limits":{"cores"`, `"limit":{"cores"`},
-		"limits.sockets is 10":         {`1024`, `10`},
-		"settings.me is missing":       {`"me":1,`, ``},
-		"number 7 of 3":                {`"me":1`, `"me":7`},
-		"known.servers[0].id is missi": {`"id":"s-1",`, ``},
+		"not JSON":                      {`{"name"`, `{name`},
+		"listen: ":                      {`127.0.0.1:8443`, `here`},
+		"discovery: ":                   {`127.0.0.2:8500`, ``},
+		"counter: ":                     {`127.0.0.3:6400`, `localhost:6400`},
+		"seed ":                         {`8c1f30d27a5be964`, `xyz`},
+		"limits is missing":             {`"limits":{"cores"`, `"limit":{"cores"`},
+		"limits.sockets is 10":          {`1024`, `10`},
+		"settings.me is missing":        {`"me":1,`, ``},
+		"settings.me is 7, need 0 to 2": {`"me":1`, `"me":7`},
+		"known.servers[0].id is missi":  {`"id":"s-1",`, ``},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)), env(nil))
 		require.ErrorContains(t, err, says)
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -40,6 +40,7 @@
 	hosts map[string]*host
 	out   map[core.Ref]*conn
 	conns int
+	told  time.Duration // when the operator was last told of one not opened
 
 	elsewhere int // connections that another process of this ingress holds
 	hand      func(host string, since time.Duration, fd int)
@@ -62,6 +63,10 @@
 // SetSink names who is told of outcomes.
 func (p *Pool) SetSink(s Sink) { p.sink = s }
 
+// logEvery: connections that can't be opened, to an address that can't be read or for want of room, are told
+// of so often, however many requests meet them.
+const logEvery = 10 * time.Second
+
 // sweepEvery is how often idle connections are looked through.
 const sweepEvery = 500 * time.Millisecond
 
@@ -172,7 +177,10 @@
 	}
 	c, err := p.dial(h)
 	if err != nil {
-		p.log.Warn("upstream connection not opened", "host", name, "error", err)
+		if now := p.loop.Now(); p.told == 0 || now-p.told > logEvery {
+			p.told = now
+			p.log.Warn("upstream connection not opened", "host", name, "error", err)
+		}
 		p.ended(ref, probe, admission.Unreachable, core.Answer{})
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -226,6 +226,12 @@
 		TipMultiple: rules.Float("tipMultiple"), TipTime: rules.Millis("fall"),
 		CrossZone: p.Object("prices").Float("crossZone"),
 	}
+	if s.Gateways < 1 {
+		p.fail("balancers", "is %d, need at least 1", s.Gateways)
+	}
+	if s.Me < 0 || s.Me >= s.Gateways {
+		p.fail("me", "is %d, need 0 to %d", s.Me, s.Gateways-1)
+	}
 	for _, n := range stats.array("names") {
 		b, err := n.StringBytes()
 		if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,9 @@
 	for says, change := range map[string][2]string{
 		"params.me is missing":                     {`"me":1,`, ``},
 		"params.me is no whole number":             {`"me":1`, `"me":1.5`},
+		"params.balancers is 0, need at least 1":   {`"balancers":3`, `"balancers":0`},
+		"params.me is 3, need 0 to 2":              {`"me":1`, `"me":3`},
+		"params.me is -1, need 0 to 2":             {`"me":1`, `"me":-1`},
 		"params.period is no number":               {`4.0`, `"4"`},
 		"params.period is not a time":              {`4.0`, `1e300`},
 		"params.limits is no object":               {`"limits":{"maxAttempts":3}`, `"limits":[]`},
