--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -186,7 +186,7 @@
 		}
 		d.g.held, d.g.live, d.g.servers["s1"].out = nil, 0, nil
 	}
-	if let[1] < 140 || let[0] > 60 {
+	if let[1] < 140 || let[0] > 30 {
 		t.Errorf("of 200 each, %d of high and %d of low worth are let in", let[1], let[0])
 	}
 }
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -22,7 +22,7 @@
 		customers: map[uint64]*customer{}, calls: map[string][]*call{}, servers: map[string]*server{},
 		stats: make([]estimate.Work, len(s.Classes)), press: make([]evidence, len(s.Plans)),
 		thin:  estimate.Powers(s.Plans, Plan.stake),
-		shed:  estimate.Powers(s.Classes, func(c Class) float64 { return c.Worth * c.Worth }),
+		shed:  estimate.Powers(s.Classes, func(c Class) float64 { return c.Worth * c.Worth * c.Worth }),
 		usual: firstGuess, outFor: firstGuess, callRate: 1, admit: 1,
 		budget: math.Min(budgetMost, budgetSum/float64(s.Gateways)),
 		asked:  foretellAt, askShare: min(1, max(askLeast, askAtFirst/float64(s.Gateways)))}, nil
