Keep a host not reached off no longer than others; where all are away none is left out

What cost was the ejection of 8 s that made a host away (observe, attempts.go): a crashed host that is back stays unused as long. Found by a test on the way: when all were away, the bound on looks left nobody to send to, since trust in pick, servers.go, counted them as usable.

Hosts away are not what trust goes by.

The dead hosts' test fails without the bound: 11,304 of 26,656 sends.

--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -196,7 +196,7 @@
 			g.eject(s)
 		}
 	case Unreachable:
-		s.bad = max(s.bad, awayAt-1)
+		s.broken += awayAt
 		g.eject(s)
 	}
 }
--- a/admission/servers.go
+++ b/admission/servers.go
@@ -23,7 +23,7 @@
 	turnMost    = 0.9                    // and no more than this is believed
 	statGain    = 0.02                   // EWMA weight of an answer in its class's usual latency
 	ejectFirst  = 500 * time.Millisecond // first ejection after a failure; doubles with each further
-	awayAt      = 6                      // failures in a row, or one that did not reach it: it is away
+	awayAt      = 6                      // connections lost in a row, as which one not made counts: it is away
 	lookEvery   = time.Second            // between looks whether one that is away is back
 	ejectMost   = 8 * time.Second        // longest ejection, so that recovery is seen within it
 	silentX     = 4.0                    // times its expected time: an attempt out this long is silence
@@ -63,7 +63,7 @@
 		if s == nil {
 			s = g.insert(e)
 		} else if e.Boot > s.Boot { // restarted within its id
-			s.coldAt, s.resp, s.bad, s.ejected = e.Boot, 1, 0, 0
+			s.coldAt, s.resp, s.bad, s.broken, s.ejected = e.Boot, 1, 0, 0, 0
 		}
 		s.ServerEntry = e
 	}
@@ -131,7 +131,7 @@
 // however many they are. Guards against a list so old that most requests would go to servers long gone.
 func (g *Gateway) mayLook() bool {
 	return !slices.ContainsFunc(g.order, func(s *server) bool {
-		return s.bad >= awayAt && (len(s.out) > 0 || g.now < s.ejected-s.ejection()+lookEvery)
+		return s.broken >= awayAt && (len(s.out) > 0 || g.now < s.ejected-s.ejection()+lookEvery)
 	})
 }
 
@@ -164,7 +164,8 @@
 // pick returns the server with the least expected wait for a request, and that wait in seconds. Where
 // all are shunned that is not trusted.
 func (g *Gateway) pick(r *request) (*server, float64) {
-	trust, look := slices.ContainsFunc(g.order, func(s *server) bool { return !g.shunned(s) }), g.mayLook()
+	usable := func(s *server) bool { return !g.shunned(s) && s.broken < awayAt }
+	trust, look := slices.ContainsFunc(g.order, usable), g.mayLook()
 	within := fillAim * math.Max(0, (r.due-g.now).Seconds())
 	if g.crowd() && g.live >= g.bulkhead(within) {
 		return nil, 0
@@ -175,7 +176,7 @@
 		n := float64(len(s.out))
 		// Re-entry by trickle: one at a time, and none that could not be repeated.
 		unfit := g.shunned(s) || s.bad > 0 && (n > 0 || r.class.Effect == Unsafe) ||
-			s.bad >= awayAt && (len(r.tries) > 0 || !look)
+			s.broken >= awayAt && (len(r.tries) > 0 || !look)
 		if !r.allows(s) || n >= g.limit(s, within) || trust && unfit {
 			continue
 		}
