--- a/cmd/ferryfront/process_test.go
+++ b/cmd/ferryfront/process_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -401,6 +403,24 @@
 	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
 }
 
+// The platform refuses further processes: serve, as deploy/balancer.toml names it, is one.
+func TestServeStartsNoFurtherProcess(t *testing.T) {
+	w := newWorld(t)
+	w.start()
+	require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", w.cmd.Process.Pid))
+	require.NoError(t, err)
+	require.NotEmpty(t, threads)
+	for _, name := range threads {
+		children, err := os.ReadFile(name)
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, syscall.ESRCH) { // the thread has ended meanwhile
+			continue
+		}
+		require.NoError(t, err)
+		require.Empty(t, strings.TrimSpace(string(children)))
+	}
+}
+
 // At a planned end whatever was taken is answered, what still comes for a while, too, and nobody is
 // invited to stay.
 func TestDrain(t *testing.T) {
