--- a/admission/servers.go
+++ b/admission/servers.go
@@ -23,7 +23,7 @@
 	turnMost    = 0.9                    // and no more than this is believed
 	statGain    = 0.02                   // EWMA weight of an answer in its class's usual latency
 	ejectFirst  = 500 * time.Millisecond // first ejection after a failure; doubles with each further
-	awayAt      = 6                      // connections lost in a row, as which one not made counts: it is away
+	awayAt      = 6                      // connections lost in a row, or one not made: it is away
 	lookEvery   = time.Second            // between looks whether one that is away is back
 	ejectMost   = 8 * time.Second        // longest ejection, so that recovery is seen within it
 	silentX     = 4.0                    // times its expected time: an attempt out this long is silence
