--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -217,7 +217,7 @@
 	if g.now < s.ejected {
 		return
 	}
-	if s.bad++; s.bad == 1 || s.bad == awayAt {
+	if s.bad++; s.bad == 1 {
 		g.log(logMost, "server %s ejected", s.Name)
 	}
 	s.ejected = g.now + s.ejection()
