Compute fading in one place; scan for trust and looks only where a choice is made

Need: on reading the change again, decaying and evidence in util.go held the same exponential as estimate.Fade, and pick looked through all hosts before the bound on what a door has out, which may end it at once.

Change: both call estimate.Fade; the scans stand behind the bound. No decision changes.

--- a/admission/servers.go
+++ b/admission/servers.go
@@ -164,12 +164,12 @@
 // pick returns the server with the least expected wait for a request, and that wait in seconds. Where
 // all are shunned that is not trusted.
 func (g *Gateway) pick(r *request) (*server, float64) {
-	usable := func(s *server) bool { return !g.shunned(s) && s.broken < awayAt }
-	trust, look := slices.ContainsFunc(g.order, usable), g.mayLook()
 	within := fillAim * math.Max(0, (r.due-g.now).Seconds())
 	if g.crowd() && g.live >= g.bulkhead(within) {
 		return nil, 0
 	}
+	usable := func(s *server) bool { return !g.shunned(s) && s.broken < awayAt }
+	trust, look := slices.ContainsFunc(g.order, usable), g.mayLook()
 	var best *server
 	least, place := math.Inf(1), -1
 	for _, s := range g.order {
--- a/admission/util.go
+++ b/admission/util.go
@@ -147,7 +147,7 @@
 }
 
 func (d *decaying) rate(now time.Duration, memory float64) float64 {
-	return d.n * math.Exp(-(now-d.at).Seconds()/memory) / memory
+	return d.n * estimate.Fade(now-d.at, memory) / memory
 }
 
 // An evidence is how much was asked, in seconds' worth of what fits, over how many seconds looked at; both
@@ -158,7 +158,7 @@
 }
 
 func (e *evidence) fade(now time.Duration, memory float64) {
-	f := math.Exp(-(now - e.at).Seconds() / memory)
+	f := estimate.Fade(now-e.at, memory)
 	e.asked, e.span, e.at = e.asked*f, e.span*f, now
 }
 
