Ask discovery within half the grace of drains after a start, however large the fleet

Cause: limits.For spread first watches over 3 ms an ingress (ClusterSpread, limits.go), 0.9 s at 300 ingresses. The front goes on sending to an ingress that was killed and started anew before that one is up, and what it would have been told had it asked counts as told. So it sent to hosts drained long before, 0.57 s after its start.

Logs of all 300 ingresses: no watch was lost, so discovery turned nobody away; 229 ingresses came back 1 to 2 s after their end. 39% of them ask later than 0.55 s, a seventh of the hosts drained, 15 requests a second each: about 32 such sends are to be expected.

Change: the spread is at most half of rules.drainGrace. Way not taken: to send nothing until discovery has spoken; that turns away what a silent discovery can't help.

TestFirstWatchesComeWithinTheGraceOfDrains fails without it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -116,7 +116,7 @@
 	}
 	site := limits.Site{Sockets: r.Object("limits").Int("sockets"), MemoryMB: r.Object("limits").Int("memory_mb"),
 		IdleClose: set.Object("limits").Millis("idleClose"), DialLimit: c.Settings.DialLimit,
-		CounterLimit: c.Settings.CounterLimit, Gateways: c.Settings.Gateways}
+		CounterLimit: c.Settings.CounterLimit, Gateways: c.Settings.Gateways, DrainGrace: c.Settings.DrainGrace}
 	for _, class := range c.Settings.Classes {
 		site.LongestDeadline = max(site.LongestDeadline, min(class.Deadline, 3*time.Second))
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -75,7 +75,8 @@
 	Sockets, MemoryMB                  int
 	IdleClose, DialLimit, CounterLimit time.Duration
 	LongestDeadline                    time.Duration
-	Gateways                           int // ingresses of the fleet, which share discovery and the counter
+	Gateways                           int           // ingresses of the fleet, which share discovery and the counter
+	DrainGrace                         time.Duration // in which nothing new goes to a host that is told to drain
 }
 
 // Shares of what the whole fleet may ask of discovery, which is one service of fixed capacity: calls wait in
@@ -118,6 +119,11 @@
 		Probation: 2 * time.Second, HandoverBytes: 16 << 20, HandoverQueue: 256 << 10, CounterShared: 8,
 		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
 	}
+	// Clients may come before a process that took a dead one's place is up, and what it would have been told had it
+	// asked at once counts as told: later than the grace it would send to hosts that have long drained.
+	if s.DrainGrace > 0 {
+		l.ClusterSpread = min(l.ClusterSpread, s.DrainGrace/2)
+	}
 	l.ClusterFirst = max(l.BackoffFirst, clusterFirst*time.Duration(s.Gateways))
 	l.ClusterMost = max(l.BackoffMost, clusterMost*time.Duration(s.Gateways))
 	if l.UpstreamIdle <= 0 {
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -79,3 +79,13 @@
 	require.Greater(t, large.ClusterMost, 4*time.Second)
 	require.Greater(t, large.ClusterSpread, 200*time.Millisecond)
 }
+
+// Ingresses that are released together may be sent requests before they are up. One that asked discovery later
+// than the grace of drains would send those to hosts that have long drained, however large the fleet.
+func TestFirstWatchesComeWithinTheGraceOfDrains(t *testing.T) {
+	for _, doors := range []int{3, 80, 300, 3000} {
+		lim, err := limits.For(limits.Site{Sockets: 384, Gateways: doors, DrainGrace: 500 * time.Millisecond})
+		require.NoError(t, err)
+		require.LessOrEqual(t, lim.ClusterSpread, 250*time.Millisecond)
+	}
+}
