A door for operators: STATUS and METRICS, with figures counted where they happen

Need: staff ask whether an ingress is ready and what it does.

Design: internal/net/mgmt is a listener on the loop whose descriptors are served first in a turn (Source.First) and kept free in Limits; 16 callers, 6 s each, the oldest silent one makes room. internal/figures holds plain integers: the core counts the ends of streams by class, the upstream pool requests written whole, the daemon reloads; open streams, the list and avoided hosts are read off where they stand. Ways not taken: a thread with a listener of its own (it would read the loop's state under locks, and on one core waits for it all the same); OpenTelemetry's meters (off on the platform, a registry and allocations for a dozen integers).

Also: clients' and operators' listeners take SO_REUSEPORT, which a process started beside this one needs.

Tests compare the figures with what stand-in clients and hosts counted, through tries again, refusals, abandoned requests, ejections and reloads; bad input, silent callers, a crowd, an address that can't be bound.

--- a/cmd/ferryfront/process_test.go
+++ b/cmd/ferryfront/process_test.go
@@ -127,7 +127,7 @@
 // others, nor that of a usual client's which stands idle: that one is the last to be closed.
 func TestConnectionsThatNeverAskMakeRoom(t *testing.T) {
 	w := newWorld(t)
-	w.change = func(config, _ map[string]any) { config["limits"].(obj)["sockets"] = 48 + 24 + 32 } // 16 for clients
+	w.change = func(config, _ map[string]any) { config["limits"].(obj)["sockets"] = 56 + 24 + 32 } // 16 for clients
 	w.start()
 	w.until(func() bool { // the connections that asked whether it is ready are still closing
 		usual := w.raw("GET /up HTTP/1.1\r\n\r\n")
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -74,6 +74,7 @@
 	unknown bool // the configuration knows no hosts: they are only told by discovery
 
 	addr string
+	door string // of operators, empty: none
 	path string // of the configuration
 	told obj    // what it says
 	cmd  *exec.Cmd
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 // Config is one ingress's configuration.
 type Config struct {
 	Name, Listen, Discovery, Counter string
+	Mgmt                             string // where operators ask, empty: nowhere
 	Seed                             uint64
 	Cores                            float64
 	Known                            discovery.List
@@ -29,7 +30,7 @@
 	Limits                           limits.Limits
 }
 
-// Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN and GW_DISCOVERY, where they are set,
+// Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT, where they are set,
 // go before what the file says.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, Parse) }
 
@@ -58,7 +59,7 @@
 	for _, f := range []struct {
 		name     string
 		was, now any
-	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"seed", c.Seed, to.Seed}, {"limits.cores", c.Cores, to.Cores},
+	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"mgmt", c.Mgmt, to.Mgmt}, {"seed", c.Seed, to.Seed}, {"limits.cores", c.Cores, to.Cores},
 		{"settings", c.Settings, to.Settings}, {"limits", c.Limits, to.Limits}} {
 		if !reflect.DeepEqual(f.was, f.now) {
 			names = append(names, f.name)
@@ -96,6 +97,7 @@
 		Name:      cmp.Or(getenv("GW_NAME"), r.Text("name")),
 		Listen:    cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
 		Discovery: cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
+		Mgmt:      cmp.Or(getenv("GW_MGMT"), r.Text("mgmt")),
 		Counter:   r.Text("counter"),
 		Cores:     r.Object("limits").Float("cores"),
 	}
@@ -132,7 +134,7 @@
 	for _, a := range []struct {
 		field, addr string
 		must        bool
-	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"counter", c.Counter, c.Settings.HasCounter}} {
+	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"counter", c.Counter, c.Settings.HasCounter}, {"mgmt", c.Mgmt, false}} {
 		if a.addr == "" && !a.must {
 			continue
 		}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/figures"
 	"ferryfront.example/ferryfront/internal/timerq"
 	"ferryfront.example/ferryfront/internal/tracecontext"
 )
@@ -164,6 +165,7 @@
 	counter   Counter
 	cluster   Cluster
 	observer  Observer
+	figures   *figures.Figures
 	log       *slog.Logger
 	margin    time.Duration
 
@@ -194,7 +196,8 @@
 	Upstreams Upstreams
 	Counter   Counter
 	Cluster   Cluster
-	Observer  Observer // may be nil
+	Observer  Observer         // may be nil
+	Figures   *figures.Figures // may be nil: nobody reads them
 	Log       *slog.Logger
 	Margin    time.Duration
 	Windows   []time.Duration // by class, for which a repeat of its key is recognised; 0: it carries none
@@ -202,8 +205,11 @@
 
 // New returns a core without streams.
 func New(c Config) *Core {
+	if c.Figures == nil {
+		c.Figures = &figures.Figures{}
+	}
 	return &Core{decider: c.Decider, upstreams: c.Upstreams, counter: c.Counter, cluster: c.Cluster,
-		observer: c.Observer, log: c.Log, margin: c.Margin,
+		observer: c.Observer, figures: c.Figures, log: c.Log, margin: c.Margin,
 		streams: map[uint64]*stream{}, keys: map[string]struct{}{}, probes: map[uint64]probe{},
 		orders: orders{windows: c.Windows, byKey: map[string]*order{}, places: map[string]place{}},
 		theirs: map[uint64]OpenStream{}}
@@ -234,10 +240,12 @@
 	}
 	c.orders.expire(c.now)
 	if r.Order != "" && c.orders.open(r.Order) {
+		c.tally(r.Class, Failed) // the front answers with an error
 		return 0
 	}
 	if r.Key != "" {
 		if _, taken := c.keys[r.Key]; taken {
+			c.tally(r.Class, Failed)
 			return 0
 		}
 		c.keys[r.Key] = struct{}{}
@@ -506,6 +514,7 @@
 	s.closed = true
 	c.open--
 	e.Sent = len(s.attempts) > 0
+	c.tally(s.class, e.Kind)
 	owner := s.owner
 	s.owner = nil
 	if owner != nil {
@@ -521,6 +530,20 @@
 	c.forget(s)
 }
 
+// tally counts the end of a request. One that its client abandoned has none.
+func (c *Core) tally(class int, kind EndKind) {
+	f := c.figures.Class(class)
+	switch {
+	case f == nil || kind == Left:
+	case kind == Served:
+		f.Success++
+	case kind == Refused:
+		f.Busy++
+	default:
+		f.Failure++
+	}
+}
+
 func (c *Core) forget(s *stream) {
 	if s.closed && s.live == 0 {
 		s.payload = nil
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/config"
 	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/figures"
 	"ferryfront.example/ferryfront/internal/front/openapi"
 	"ferryfront.example/ferryfront/internal/front/platform"
 	"ferryfront.example/ferryfront/internal/front/routes"
@@ -26,6 +27,7 @@
 	"ferryfront.example/ferryfront/internal/net/discovery"
 	"ferryfront.example/ferryfront/internal/net/downstream"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/mgmt"
 	"ferryfront.example/ferryfront/internal/net/upstream"
 	"ferryfront.example/ferryfront/internal/telemetry"
 )
@@ -103,6 +105,8 @@
 	watcher   *discovery.Watcher
 	fronts    []opening
 	control   *control
+	door      *mgmt.Door // nil where operators have none
+	figures   figures.Figures
 	draining  bool
 	drained   bool // no new connections either
 	fault     error
@@ -136,7 +140,7 @@
 	for _, f := range d.fronts {
 		f.ready()
 	}
-	if err := d.openControl(); err != nil {
+	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		return err
 	}
 	d.log.Info("serving", "version", d.o.Version, "listen", d.cfg.Listen)
@@ -197,8 +201,9 @@
 		return err
 	}
 	l := d.loop
-	d.hosts = upstream.New(l, cfg.Limits, d.log)
-	parts := core.Config{Decider: d.module, Upstreams: d.hosts, Counter: noCounter{}, Cluster: d, Log: d.log,
+	d.hosts = upstream.New(l, cfg.Limits, d.log, &d.figures.Attempts)
+	d.nameClasses()
+	parts := core.Config{Decider: d.module, Upstreams: d.hosts, Counter: noCounter{}, Cluster: d, Log: d.log, Figures: &d.figures,
 		Margin: cfg.Limits.AnswerMargin}
 	for _, class := range cfg.Settings.Classes {
 		window := time.Duration(0)
@@ -303,6 +308,7 @@
 		to, err := d.o.Reload()
 		if err != nil {
 			d.log.Error("configuration not reloaded", "error", err)
+			d.loop.Post(func() { d.figures.ReconfigFailed++ })
 		} else {
 			if d.o.Limit != nil {
 				d.o.Limit(&to.Limits)
@@ -312,6 +318,7 @@
 				d.log.Warn("changed configuration needs a restart", "fields", strings.Join(names, ","))
 			}
 			d.loop.Post(func() {
+				d.figures.ReconfigOK++
 				d.watcher.Move(to.Discovery)
 				if d.counter != nil {
 					d.counter.Move(to.Counter)
--- /dev/null
+++ b/internal/daemon/door.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"fmt"
+
+	"ferryfront.example/ferryfront/internal/figures"
+	"ferryfront.example/ferryfront/internal/net/mgmt"
+)
+
+// openDoor opens the operators' door where the configuration has one.
+func (d *Daemon) openDoor() (err error) {
+	if d.cfg.Mgmt == "" {
+		return nil
+	}
+	if d.door, err = mgmt.Open(d.loop, d.cfg.Limits, d.log, d.cfg.Mgmt, office{d}); err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	return nil
+}
+
+// nameClasses has a count for each class of the settings.
+func (d *Daemon) nameClasses() {
+	var names []string
+	for _, c := range d.cfg.Settings.Classes {
+		names = append(names, c.Name)
+	}
+	d.figures.Name(names)
+}
+
+// office answers operators for a daemon.
+type office struct{ d *Daemon }
+
+// Ready tells whether a client's request would be served here.
+func (o office) Ready() bool {
+	return o.d.watcher != nil && o.d.watcher.Known() && o.d.server.Serving()
+}
+
+// Metrics appends the figures as they stand.
+func (o office) Metrics(room []byte) []byte {
+	d := o.d
+	if d.core == nil {
+		return d.figures.Append(room, figures.Present{})
+	}
+	return d.figures.Append(room, figures.Present{InFlight: d.core.Open(), Listed: d.watcher.Listed(),
+		Down: d.module.Avoided(d.loop.Now())})
+}
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,78 @@
+// Package figures holds what an ingress tells its operators of itself: plain integers, each counted once, where
+// the thing happens, and written out here.
+package figures
+
+import "strconv"
+
+// Class counts the ended requests of one class.
+type Class struct {
+	Name                   string
+	Success, Busy, Failure uint64 // served, refused, failed; what a client abandoned is in none
+}
+
+// Figures begin at 0 with the process.
+type Figures struct {
+	Classes        []Class // by the class's place in the settings
+	Attempts       uint64  // upstream requests written whole
+	ReconfigOK     uint64  // configurations taken while running,
+	ReconfigFailed uint64  // and turned down
+}
+
+// Present are figures that are read off where they stand.
+type Present struct {
+	InFlight int // requests taken and not ended
+	Listed   int // upstream hosts in the list
+	Down     int // those of them that are avoided
+}
+
+// Class returns the counts of a class, nil where there is none.
+func (f *Figures) Class(i int) *Class {
+	if i < 0 || i >= len(f.Classes) {
+		return nil
+	}
+	return &f.Classes[i]
+}
+
+// Name has a count for each class of these names. Places once given stay.
+func (f *Figures) Name(names []string) {
+	for i := len(f.Classes); i < len(names); i++ {
+		f.Classes = append(f.Classes, Class{Name: names[i]})
+	}
+}
+
+// Append writes all figures in the text form of Prometheus.
+func (f *Figures) Append(b []byte, now Present) []byte {
+	for i := range f.Classes {
+		c := &f.Classes[i]
+		b = call(b, c.Name, "success", c.Success)
+		b = call(b, c.Name, "busy", c.Busy)
+		b = call(b, c.Name, "failure", c.Failure)
+	}
+	b = line(b, "backend_calls", f.Attempts)
+	b = line(b, "inflight", uint64(max(0, now.InFlight)))
+	b = line(b, "hosts_listed", uint64(max(0, now.Listed)))
+	b = line(b, "hosts_down", uint64(max(0, now.Down)))
+	b = line(b, "reconfig_ok", f.ReconfigOK)
+	return line(b, "reconfig_failed", f.ReconfigFailed)
+}
+
+func line(b []byte, name string, n uint64) []byte {
+	b = append(append(append(b, "app_"...), name...), ' ')
+	return append(strconv.AppendUint(b, n, 10), '\n')
+}
+
+func call(b []byte, class, code string, n uint64) []byte {
+	b = append(b, `app_calls{tier="`...)
+	for i := 0; i < len(class); i++ { // a label's value, escaped
+		switch c := class[i]; c {
+		case '\\', '"':
+			b = append(b, '\\', c)
+		case '\n':
+			b = append(b, `\n`...)
+		default:
+			b = append(b, c)
+		}
+	}
+	b = append(append(append(b, `",code="`...), code...), `"} `...)
+	return append(strconv.AppendUint(b, n, 10), '\n')
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,29 @@
+package figures
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestAppend(t *testing.T) {
+	f := &Figures{Attempts: 9, ReconfigOK: 1, ReconfigFailed: 2}
+	f.Name([]string{"stock"})
+	f.Class(0).Success, f.Class(0).Busy = 812, 3
+	f.Name([]string{"stock", "a\"b\\c\nd"}) // a class that came later; the first keeps its counts
+	require.Nil(t, f.Class(2))
+	require.Nil(t, f.Class(-1))
+	require.Equal(t, `app_calls{tier="stock",code="success"} 812
+app_calls{tier="stock",code="busy"} 3
+app_calls{tier="stock",code="failure"} 0
+app_calls{tier="a\"b\\c\nd",code="success"} 0
+app_calls{tier="a\"b\\c\nd",code="busy"} 0
+app_calls{tier="a\"b\\c\nd",code="failure"} 0
+app_backend_calls 9
+app_inflight 14
+app_hosts_listed 12
+app_hosts_down 2
+app_reconfig_ok 1
+app_reconfig_failed 2
+`, string(f.Append(nil, Present{InFlight: 14, Listed: 12, Down: 2})))
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -24,6 +24,9 @@
 	LingerBytes    int           // and how many
 	Accepts        int           // connections accepted in a turn of the loop
 	Ahead          int           // requests that a client has sent ahead which one turn takes up
+	Callers        int           // operators' connections held at once
+	CallerBytes    int           // of an operator's line
+	CallerTime     time.Duration // after which an operator's connection is closed
 	UpstreamIdle   time.Duration // an upstream connection idle this long is dropped
 	DialLimit      time.Duration // for a connection to come up
 
@@ -64,8 +67,8 @@
 }
 
 // reserve is what is kept free of connections: standard streams, epoll, eventfd,
-// listeners, discovery, telemetry's exporters, the runtime's own.
-const reserve = 48
+// listeners, discovery, operators, telemetry's exporters, the runtime's own.
+const reserve = 56
 
 // downstreamPart of all descriptors, in percent, are for clients at the most.
 const downstreamPart = 25
@@ -104,6 +107,7 @@
 		HeadBytes: 16 << 10, BodyBytes: 64 << 10,
 		DownstreamIdle: 30 * time.Second, FirstTime: 2 * time.Second, HeadTime: 2 * time.Second,
 		FreshTime: 25 * time.Millisecond, Linger: time.Second, LingerBytes: 1 << 20, Accepts: 64, Ahead: 16,
+		Callers: 16, CallerBytes: 256, CallerTime: 6 * time.Second,
 		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
 		CounterConns: min(counterMost, max(counterLeast, counterFleet/max(1, s.Gateways))), CounterPending: 48, CounterLimit: s.CounterLimit,
 		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second,
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -137,6 +137,9 @@
 // Told tells whether discovery itself has spoken since the start.
 func (w *Watcher) Told() bool { return w.told }
 
+// Listed tells how many hosts are in the list as it stands.
+func (w *Watcher) Listed() int { return len(w.known) }
+
 // Current is the list as it stands, in order of name.
 func (w *Watcher) Current() List {
 	list := List{Version: w.version, Full: true}
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -59,7 +59,7 @@
 
 // Listen opens a listener for a front.
 func (s *Server) Listen(addr string, f Front) error {
-	fd, err := loop.Listen(addr)
+	fd, err := loop.ListenBeside(addr)
 	if err != nil {
 		return err
 	}
@@ -228,6 +228,9 @@
 	}
 }
 
+// Serving tells whether new connections are taken and read.
+func (s *Server) Serving() bool { return len(s.listeners) > 0 && !s.held && !s.closed && !s.draining }
+
 // Connections tells how many are open.
 func (s *Server) Connections() int { return len(s.conns) }
 
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -30,6 +30,7 @@
 	gen     int32
 	handler Handler
 	events  uint32
+	first   bool
 }
 
 // Timer is a function called once, unless stopped.
@@ -49,6 +50,7 @@
 	gen         int32
 	ready       []unix.EpollEvent
 	timers      timerq.Queue[*Timer]
+	firsts      bool // some source is to be served first
 	posted      chan func()
 	buf         []byte
 	start       time.Time
@@ -122,6 +124,9 @@
 	return s, nil
 }
 
+// First has a descriptor served before all others of its turn.
+func (s *Source) First() { s.first, s.l.firsts = true, true }
+
 // Want changes what a descriptor is watched for.
 func (s *Source) Want(events uint32) {
 	if s.fd < 0 || s.events == events {
@@ -206,11 +211,10 @@
 			return fmt.Errorf("epoll: %w", err)
 		}
 		l.tick()
-		for _, ev := range l.ready[:max(n, 0)] {
-			if s := l.sources[ev.Fd]; s != nil && s.gen == ev.Pad {
-				s.handler.Ready(ev.Events)
-			}
+		if l.firsts {
+			l.serve(l.ready[:max(n, 0)], true)
 		}
+		l.serve(l.ready[:max(n, 0)], false)
 		for more := true; more; {
 			select {
 			case fn := <-l.posted:
@@ -233,6 +237,15 @@
 	return nil
 }
 
+// serve tells the handlers of what is ready, of those that go first or of the others.
+func (l *Loop) serve(ready []unix.EpollEvent, first bool) {
+	for _, ev := range ready {
+		if s := l.sources[ev.Fd]; s != nil && s.gen == ev.Pad && s.first == first {
+			s.handler.Ready(ev.Events)
+		}
+	}
+}
+
 // wait is how long to wait for descriptors, in milliseconds.
 func (l *Loop) wait(next time.Duration) int {
 	l.timers.Skip(func(t *Timer) bool { return t.fn != nil }) // a stopped one is not worth a turn
--- a/internal/net/loop/sock.go
+++ b/internal/net/loop/sock.go
@@ -62,7 +62,13 @@
 }
 
 // Listen opens a listening socket.
-func Listen(addr string) (int, error) {
+func Listen(addr string) (int, error) { return listen(addr, false) }
+
+// ListenBeside opens a listening socket at an address where another process of the same user may listen, too, if
+// it has opened its socket in this way. Where the system knows of no such thing, it listens alone.
+func ListenBeside(addr string) (int, error) { return listen(addr, true) }
+
+func listen(addr string, beside bool) (int, error) {
 	sa, family, err := address(addr)
 	if err != nil {
 		return -1, err
@@ -73,7 +79,12 @@
 	}
 	for _, step := range []func() error{
 		func() error { return unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) },
-		func() error { return unix.Bind(fd, sa) },
+		func() error {
+			if beside { // what can't be shared shows when it is bound
+				_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			}
+			return unix.Bind(fd, sa)
+		},
 		func() error { return unix.Listen(fd, 1024) },
 	} {
 		if err := step(); err != nil {
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -40,6 +40,7 @@
 	hosts map[string]*host
 	out   map[core.Ref]*conn
 	conns int
+	whole *uint64       // counts requests written whole, probes aside
 	told  time.Duration // when the operator was last told of one not opened
 
 	elsewhere int // connections that another process of this ingress holds
@@ -54,8 +55,9 @@
 }
 
 // New returns a pool that knows no hosts. SetSink must follow before the first request.
-func New(l *loop.Loop, lim limits.Limits, log *slog.Logger) *Pool {
-	p := &Pool{loop: l, lim: lim, log: log, hosts: map[string]*host{}, out: map[core.Ref]*conn{}}
+// whole counts the requests that have been written whole.
+func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, whole *uint64) *Pool {
+	p := &Pool{loop: l, lim: lim, log: log, whole: whole, hosts: map[string]*host{}, out: map[core.Ref]*conn{}}
 	l.After(sweepEvery, p.sweep)
 	return p
 }
@@ -279,6 +281,9 @@
 		c.src.Want(loop.In | loop.Out | loop.Hangup)
 		return
 	}
+	if c.out != nil && !c.probe {
+		*c.p.whole++
+	}
 	c.out = nil
 	c.src.Want(loop.In | loop.Hangup)
 }
