Take new settings at SIGHUP, whole or not at all: classes and plans by name, attempts at once

Design: the file is checked against the keys of the last good one, then for deadlines and attempts, then as at a start. settings.Follow keeps every class and plan at its place, by name, and marks those that left; so an index means the same to module, core, fronts, telemetry and figures for good. The module is told by one event in order with the requests; open requests keep a pointer to the class they came with, the core notes a stream's key window. One file is read at a time: of ten signals the last one's file counts.

--- a/admission/api.go
+++ b/admission/api.go
@@ -52,6 +52,7 @@
 	Scope        Scope
 	RepeatWindow time.Duration // how long a repeat of a keyed request is recognised
 	Stream       bool
+	Gone         bool // it was in earlier settings: only requests that came with it still have it
 }
 
 // Plan holds the quotas of each customer on it. A zero rate or cap means none.
@@ -66,6 +67,7 @@
 	CeilingRate  float64 // hard ceiling, units a second
 	CeilingBurst float64
 	CeilingSlack float64
+	Gone         bool // it was in earlier settings
 }
 
 // Settings are what a gateway is told at its start.
--- /dev/null
+++ b/admission/follow.go
@@ -0,0 +1,51 @@
+package admission
+
+import "ferryfront.example/ferryfront/admission/estimate"
+
+// What a gateway keeps when it is given other settings. Nothing here decides: classes and plans keep their places
+// (see SettingsChanged), a request keeps the class that it came with, and what is known of customers, servers and
+// the counter goes on under the new figures.
+
+// SettingsChanged: the gateway goes on under these settings. Classes and plans stand at the places that they had
+// before; those that are not there any more are Gone, new ones follow. Settings that a gateway can't work with
+// change nothing.
+type SettingsChanged struct{ Settings Settings }
+
+func (SettingsChanged) isEvent() {}
+
+func (g *Gateway) follow(s Settings) {
+	if s.validate() != nil || len(s.Classes) < len(g.s.Classes) || len(s.Plans) < len(g.s.Plans) {
+		return
+	}
+	was := g.s
+	g.use(s)
+	fleet := was.Gateways != s.Gateways || was.Me != s.Me
+	for _, c := range g.customers {
+		old := *c.plan
+		if c.plan = &g.s.Plans[c.index]; old == *c.plan && !fleet {
+			continue
+		}
+		c.doors = min(c.doors, float64(s.Gateways))
+		c.dealt = false // its parts are dealt anew with its next request
+		c.level = min(c.level, c.plan.Burst)
+		if was := c.rate; c.plan.Rate > 0 { // windows of another length begin anew
+			c.rate = newLedger("q"+c.key()+".", seconds(c.plan.Burst/c.plan.Rate), spread(c.id))
+			c.rate.put(was.state())
+		}
+	}
+	if fleet {
+		g.rank()
+	}
+}
+
+// use has the gateway work with settings, and makes room for what is known of each class and plan.
+func (g *Gateway) use(s Settings) {
+	g.s = s
+	for len(g.stats) < len(s.Classes) {
+		g.stats = append(g.stats, estimate.Work{})
+	}
+	for len(g.press) < len(s.Plans) {
+		g.press = append(g.press, evidence{})
+	}
+	g.thin, g.shed = estimate.Powers(s.Plans, Plan.stake), estimate.Powers(s.Classes, Class.stake)
+}
--- /dev/null
+++ b/admission/follow_test.go
@@ -0,0 +1,87 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// followed are settings with another change each, at the same places.
+func followed(change func(*Settings)) Settings {
+	s := base()
+	s.Classes, s.Plans = slices.Clone(s.Classes), slices.Clone(s.Plans)
+	change(&s)
+	return s
+}
+
+// A class becomes stricter while a request of it is out: that request may still be tried again, a new one not.
+func TestARequestKeepsTheClassThatItCameWith(t *testing.T) {
+	d := newDesk(t, base(), "s1", "s2")
+	d.do(RequestArrived{ID: 1, Class: 0, ExpiresIn: 2 * time.Second, Units: 1, Customer: 1, Doors: 1})
+	sent := func(id uint64) (n int) {
+		for _, a := range d.got {
+			if s, ok := a.(Send); ok && s.ID == id {
+				n++
+			}
+		}
+		return n
+	}
+	if sent(1) != 1 {
+		t.Fatalf("not sent: %v", d.got)
+	}
+	d.do(SettingsChanged{followed(func(s *Settings) { s.Classes[0].Effect = Unsafe })})
+	d.do(RequestArrived{ID: 2, Class: 0, ExpiresIn: 2 * time.Second, Units: 1, Customer: 1, Doors: 1})
+	for _, id := range []uint64{1, 2} {
+		r := d.g.requests[id]
+		d.do(AttemptEnded{ID: id, Server: r.tries[0].s.Name, Outcome: Broken, Took: ms})
+	}
+	if sent(1) != 2 || sent(2) != 1 {
+		t.Errorf("the old one was sent %d times, the new one %d", sent(1), sent(2))
+	}
+}
+
+func TestFewerAttemptsHoldAtOnce(t *testing.T) {
+	d := newDesk(t, base(), "s1", "s2")
+	d.do(RequestArrived{ID: 1, Class: 0, ExpiresIn: 2 * time.Second, Units: 1, Customer: 1, Doors: 1})
+	d.do(SettingsChanged{followed(func(s *Settings) { s.MaxAttempts = 1 })})
+	d.got = nil
+	d.do(AttemptEnded{ID: 1, Server: d.g.requests[1].tries[0].s.Name, Outcome: Broken, Took: ms})
+	for _, a := range d.got {
+		if _, again := a.(Send); again {
+			t.Errorf("sent again beyond the attempts allowed now: %v", d.got)
+		}
+	}
+	if d.g.requests[1] != nil {
+		t.Error("the request has no end")
+	}
+}
+
+// What is known of customers, servers and the counter goes on; a smaller store is cut, never filled up.
+func TestStateSurvivesNewSettings(t *testing.T) {
+	d := newDesk(t, base(), "s1")
+	c := d.g.customer(7, rate, 2, 0)
+	c.level, c.rate.window, c.rate.seen = 5, d.g.customers[7].rate.index(d.now), 3
+	d.g.servers["s1"].resp, d.g.stats[0].Took = 3, 0.2
+	d.do(SettingsChanged{followed(func(s *Settings) {
+		s.Classes = append(s.Classes, Class{Name: "new", Aim: ms, Deadline: time.Second, Worth: 1})
+		s.Plans[rate].Price = 9
+	})})
+	if got := d.g.customer(7, rate, 2, 0); got != c || c.level != 5 || c.rate.seen != 3 || c.plan.Price != 9 {
+		t.Errorf("the customer has %+v", got)
+	}
+	if d.g.servers["s1"].resp != 3 || d.g.stats[0].Took != 0.2 || len(d.g.stats) != 5 || len(d.g.shed) != 5 {
+		t.Error("what is known of servers and classes is lost")
+	}
+	d.do(SettingsChanged{followed(func(s *Settings) {
+		s.Classes = append(s.Classes, Class{Name: "new", Gone: true})
+		s.Plans[rate].Burst = 2
+	})})
+	if c.level != 2 || c.rate.span != time.Second || c.rate.seen != 0 {
+		t.Errorf("store %v, window %v, seen %v", c.level, c.rate.span, c.rate.seen)
+	}
+	before := d.g.s.MaxAttempts
+	d.do(SettingsChanged{followed(func(s *Settings) { s.MaxAttempts, s.Gateways = 1, 0 })})
+	if d.g.s.MaxAttempts != before {
+		t.Error("settings that can't be worked with are taken")
+	}
+}
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -7,8 +7,6 @@
 import (
 	"math"
 	"math/rand/v2"
-
-	"ferryfront.example/ferryfront/admission/estimate"
 	"time"
 )
 
@@ -18,16 +16,18 @@
 		return nil, err
 	}
 	source := rand.NewPCG(seed, 0)
-	return &Gateway{s: s, source: source, rng: rand.New(source), requests: map[uint64]*request{},
+	g := &Gateway{source: source, rng: rand.New(source), requests: map[uint64]*request{},
 		customers: map[uint64]*customer{}, calls: map[string][]*call{}, servers: map[string]*server{},
-		stats: make([]estimate.Work, len(s.Classes)), press: make([]evidence, len(s.Plans)),
-		thin:  estimate.Powers(s.Plans, Plan.stake),
-		shed:  estimate.Powers(s.Classes, func(c Class) float64 { return c.Worth * c.Worth * c.Worth }),
 		usual: firstGuess, outFor: firstGuess, callRate: 1, admit: 1,
 		budget: math.Min(budgetMost, budgetSum/float64(s.Gateways)),
-		asked:  foretellAt, askShare: min(1, max(askLeast, askAtFirst/float64(s.Gateways)))}, nil
+		asked:  foretellAt, askShare: min(1, max(askLeast, askAtFirst/float64(s.Gateways)))}
+	g.use(s)
+	return g, nil
 }
 
+// stake is the worth of a class, cubed: where few can be admitted, the least worth is turned away first.
+func (c Class) stake() float64 { return c.Worth * c.Worth * c.Worth }
+
 // Handle takes one event at the time now and returns what is to be done; the next call reuses the slice.
 func (g *Gateway) Handle(now time.Duration, ev Event) []Action {
 	g.out = g.out[:0]
@@ -55,6 +55,8 @@
 		g.answered(ev)
 	case TimerFired:
 		g.fired(ev.Token)
+	case SettingsChanged:
+		g.follow(ev.Settings)
 	}
 	return g.out
 }
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -5,7 +5,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -40,7 +39,7 @@
 	if c == nil || c.plan != plan {
 		c = &customer{id: id, plan: plan, index: index, fit: 1, level: plan.Burst,
 			levelAt: g.now, hardAt: g.began}
-		key, phase := strconv.FormatUint(id, 36), spread(id)
+		key, phase := c.key(), spread(id)
 		if plan.Rate > 0 {
 			c.rate = newLedger("q"+key+".", seconds(plan.Burst/plan.Rate), phase)
 		}
--- a/admission/util.go
+++ b/admission/util.go
@@ -129,6 +129,9 @@
 	}
 }
 
+// key is a customer's part of the counter's names.
+func (c *customer) key() string { return strconv.FormatUint(c.id, 36) }
+
 // spread gives each id a place of its own in [0,1) (Fibonacci hashing).
 func spread(id uint64) float64 { return float64(id*0x9e3779b97f4a7c15>>32) / (1 << 32) }
 
--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -49,7 +49,7 @@
 		}
 		o.Version, o.Getenv = version, p.getenv
 		o.Load = func() (config.Config, error) { return config.Load(p.getenv) }
-		o.Reload = func() (config.Config, error) { return config.Reload(p.getenv) }
+		o.Reload = func(was config.Config) (config.Config, error) { return config.Reload(p.getenv, was) }
 		o.Limit = own.Limit
 		o.Command = command()
 		o.Notify = func(state ...string) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -28,39 +28,23 @@
 	Known                            discovery.List
 	Settings                         admission.Settings
 	Limits                           limits.Limits
+
+	keys []string // that a file for a reload must have, too
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT, where they are set,
 // go before what the file says.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, Parse) }
 
-// Reload reads the file again. A process can't be given another environment, so the address of discovery
-// that the file says now goes before the environment's.
-func Reload(getenv func(string) string) (Config, error) {
-	return load(getenv, func(raw []byte, getenv func(string) string) (Config, error) {
-		v, err := fastjson.ParseBytes(raw)
-		if err != nil {
-			return Config{}, fmt.Errorf("not JSON: %w", err)
-		}
-		told := string(v.GetStringBytes("discovery"))
-		return Parse(raw, func(name string) string {
-			if name == "GW_DISCOVERY" && told != "" {
-				return told
-			}
-			return getenv(name)
-		})
-	})
-}
-
-// Changed names the fields in which another configuration differs beyond the addresses that can be followed
-// while running. The list known from before a start is not among them: discovery has told a newer one.
+// Changed names the fields in which another configuration differs beyond the addresses and settings that can be
+// followed while running. The list known from before a start is not among them: discovery has told a newer one.
 func (c Config) Changed(to Config) []string {
 	var names []string
 	for _, f := range []struct {
 		name     string
 		was, now any
 	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"mgmt", c.Mgmt, to.Mgmt}, {"seed", c.Seed, to.Seed}, {"limits.cores", c.Cores, to.Cores},
-		{"settings", c.Settings, to.Settings}, {"limits", c.Limits, to.Limits}} {
+		{"limits", c.Limits, like(to.Limits, c.Limits)}} {
 		if !reflect.DeepEqual(f.was, f.now) {
 			names = append(names, f.name)
 		}
@@ -68,6 +52,12 @@
 	return names
 }
 
+// like returns bounds with those of another's that follow new settings without a restart.
+func like(l, other limits.Limits) limits.Limits {
+	l.DrainMost = other.DrainMost
+	return l
+}
+
 func load(getenv func(string) string, parse func([]byte, func(string) string) (Config, error)) (Config, error) {
 	path := getenv("GW_CONFIG")
 	if path == "" {
@@ -94,6 +84,7 @@
 	r := settings.NewReader(v, "")
 	r.Need("limits", "settings")
 	c := Config{
+		keys:      keys(v),
 		Name:      cmp.Or(getenv("GW_NAME"), r.Text("name")),
 		Listen:    cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
 		Discovery: cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,7 @@
 	class, plan int
 	customer    uint64
 	retry       bool
+	window      time.Duration // for which a repeat of its key is recognised, as its class said when it came
 	trace       Trace
 	closed      bool
 	timedOut    bool // its last upstream request ran out of time
@@ -235,7 +236,8 @@
 // for a second copy of the other.
 func (c *Core) Arrive(now time.Duration, r Request) uint64 {
 	c.Tick(now)
-	if c.orders.window(r.Class) == 0 {
+	window := c.orders.window(r.Class)
+	if window == 0 {
 		r.Order = ""
 	}
 	c.orders.expire(c.now)
@@ -259,7 +261,8 @@
 		c.orders.begin(r.Order, ev.ID)
 	}
 	s := &stream{id: ev.ID, key: r.Key, order: r.Order, payload: r.Payload, owner: r.Owner, began: c.now, ends: c.now + ev.ExpiresIn,
-		class: ev.Class, plan: ev.Plan, customer: ev.Customer, retry: ev.Retry, trace: r.Trace}
+		class: ev.Class, plan: ev.Plan, customer: ev.Customer, retry: ev.Retry, window: window,
+		trace: r.Trace}
 	c.streams[s.id] = s
 	c.open++
 	c.timers.Push(s.ends, due{kind: deadline, ref: Ref{Stream: s.id}})
@@ -323,6 +326,25 @@
 	}
 }
 
+// Follow goes on under other settings, from the next event on. Streams that are open keep what they came with.
+func (c *Core) Follow(now time.Duration, s admission.Settings) {
+	c.Tick(now)
+	c.orders.windows = Windows(s.Classes)
+	c.events = append(c.events, admission.SettingsChanged{Settings: s})
+}
+
+// Windows are the times, by class, for which a repeat of a key is recognised; 0 where a class has no keys.
+func Windows(classes []admission.Class) (windows []time.Duration) {
+	for _, class := range classes {
+		window := time.Duration(0)
+		if class.Effect == admission.Keyed {
+			window = class.RepeatWindow
+		}
+		windows = append(windows, window)
+	}
+	return windows
+}
+
 // Counted takes the answer to a counter call.
 func (c *Core) Counted(ev admission.CounterAnswered) {
 	c.events = append(c.events, ev)
@@ -499,7 +521,7 @@
 		return
 	}
 	if s.order != "" {
-		c.orders.sent(s.order, a.Server, c.now, c.orders.window(s.class))
+		c.orders.sent(s.order, a.Server, c.now, s.window)
 	}
 	wait := s.ends - c.now
 	if a.Wait > 0 && a.Wait < wait {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
-	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,11 +34,11 @@
 
 // Options are what a daemon is started with.
 type Options struct {
-	Load      func() (config.Config, error) // reads the configuration for a start
-	Reload    func() (config.Config, error) // reads it again while running
-	ReadFront func() (openapi.File, error)  // reads the file of a second front, nil: none
-	OTLP      string                        // endpoint, empty: no telemetry
-	Control   string                        // path of the control socket, empty: none
+	Load      func() (config.Config, error)                  // reads the configuration for a start
+	Reload    func(was config.Config) (config.Config, error) // reads it again while running
+	ReadFront func() (openapi.File, error)                   // reads the file of a second front, nil: none
+	OTLP      string                                         // endpoint, empty: no telemetry
+	Control   string                                         // path of the control socket, empty: none
 	Version   string
 	Log       *slog.Logger
 	Command   []string              // what starts the next process of an upgrade: the binary's path, its arguments
@@ -95,7 +95,8 @@
 	reload    chan struct{}
 	loop      *loop.Loop
 	cfg       config.Config
-	told      config.Config // as read at the start; the signals' goroutine reads it
+	told      config.Config // as last read and taken
+	reloads   int           // asked for and not done; one is read at a time
 	log       *slog.Logger
 	module    *admission.Gateway
 	core      *core.Core
@@ -117,9 +118,10 @@
 
 // opening is a front and where it listens.
 type opening struct {
-	addr  string
-	front downstream.Front
-	ready func()
+	addr   string
+	front  downstream.Front
+	ready  func()
+	follow func(admission.Settings)
 }
 
 // noCounter stands where a deployment has none; the module does not call it there.
@@ -205,13 +207,7 @@
 	d.nameClasses()
 	parts := core.Config{Decider: d.module, Upstreams: d.hosts, Counter: noCounter{}, Cluster: d, Log: d.log, Figures: &d.figures,
 		Margin: cfg.Limits.AnswerMargin}
-	for _, class := range cfg.Settings.Classes {
-		window := time.Duration(0)
-		if class.Effect == admission.Keyed {
-			window = class.RepeatWindow
-		}
-		parts.Windows = append(parts.Windows, window)
-	}
+	parts.Windows = core.Windows(cfg.Settings.Classes)
 	if d.o.OTLP != "" {
 		if d.telemetry, err = newTelemetry(cfg, d.o, d.log); err != nil {
 			return err
@@ -229,7 +225,8 @@
 	}
 	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known, cfg.Seed)
 	d.server = downstream.New(l, cfg.Limits, d.log)
-	d.fronts = append(d.fronts, opening{cfg.Listen, platform.New(d.core, cfg.Settings, d.watcher.Known), func() {}})
+	first := platform.New(d.core, cfg.Settings, d.watcher.Known)
+	d.fronts = append(d.fronts, opening{cfg.Listen, first, func() {}, first.Follow})
 	if table != nil {
 		d.fronts = append(d.fronts, d.secondFront(file, table, stamp))
 	}
@@ -239,25 +236,25 @@
 // secondFront is the front that a file describes, beside the platform's.
 func (d *Daemon) secondFront(file openapi.File, table *routes.Table, stamp openapi.Stamp) opening {
 	f := openapi.New(d.core, d.cfg.Settings, file, table, d.watcher.Known, d.log)
+	settings := &atomic.Pointer[admission.Settings]{} // read by the reloader's goroutine
+	start := d.cfg.Settings
+	settings.Store(&start)
 	return opening{file.Listen, f, func() {
 		d.log.Info("second front", "listen", file.Listen, "routes", len(table.All()))
 		if file.Description != "" {
-			r := openapi.Reloader{File: file, Settings: d.cfg.Settings, Log: d.log, Every: time.Second, Kick: d.reload,
+			r := openapi.Reloader{File: file, Settings: settings.Load, Log: d.log, Every: time.Second, Kick: d.reload,
 				Swap: func(t *routes.Table) { d.loop.Post(func() { f.Swap(t) }) }}
 			go r.Run(stamp)
 		}
+	}, func(s admission.Settings) {
+		settings.Store(&s)
+		f.Follow(s)
 	}}
 }
 
 func newTelemetry(cfg config.Config, o Options, log *slog.Logger) (*telemetry.Exporter, error) {
 	c := telemetry.Config{Endpoint: o.OTLP, Instance: cfg.Name, Version: o.Version, Log: log,
-		Every: cfg.Limits.TelemetryEvery, Queue: cfg.Limits.TelemetryQueue}
-	for _, class := range cfg.Settings.Classes {
-		c.Classes, c.Aims = append(c.Classes, class.Name), append(c.Aims, class.Aim)
-	}
-	for _, plan := range cfg.Settings.Plans {
-		c.Plans = append(c.Plans, plan.Name)
-	}
+		Every: cfg.Limits.TelemetryEvery, Queue: cfg.Limits.TelemetryQueue, Settings: cfg.Settings}
 	return telemetry.New(c)
 }
 
@@ -299,39 +296,6 @@
 	}
 }
 
-// reconfigure takes the configuration as it reads now: where discovery and the counter are. It is read on a
-// goroutine of its own. One that can't be used changes nothing, and what would need a restart is only told. A
-// planned end does not stop it, since what is open then still needs both.
-func (d *Daemon) reconfigure() {
-	told := d.told
-	go func() {
-		to, err := d.o.Reload()
-		if err != nil {
-			d.log.Error("configuration not reloaded", "error", err)
-			d.loop.Post(func() { d.figures.ReconfigFailed++ })
-		} else {
-			if d.o.Limit != nil {
-				d.o.Limit(&to.Limits)
-			}
-			d.log.Info("configuration reloaded", "discovery", to.Discovery, "counter", to.Counter)
-			if names := told.Changed(to); len(names) > 0 {
-				d.log.Warn("changed configuration needs a restart", "fields", strings.Join(names, ","))
-			}
-			d.loop.Post(func() {
-				d.figures.ReconfigOK++
-				d.watcher.Move(to.Discovery)
-				if d.counter != nil {
-					d.counter.Move(to.Counter)
-				}
-			})
-		}
-		select {
-		case d.reload <- struct{}{}:
-		default: // one is waiting already
-		}
-	}()
-}
-
 // Refetch asks discovery for the whole list.
 func (d *Daemon) Refetch() { d.watcher.Refetch() }
 
--- a/internal/front/openapi/file_test.go
+++ b/internal/front/openapi/file_test.go
@@ -114,7 +114,7 @@
 	write("stock, cost: 1") // each text has a length of its own: two writes may fall into one tick of the file's clock
 	f := File{Description: path}
 	kick, swapped, log := make(chan struct{}), make(chan *routes.Table), make(lines, 16)
-	r := Reloader{File: f, Settings: set, Log: slog.New(slog.NewTextHandler(log, nil)), Every: 5 * time.Millisecond,
+	r := Reloader{File: f, Settings: func() *admission.Settings { return &set }, Log: slog.New(slog.NewTextHandler(log, nil)), Every: 5 * time.Millisecond,
 		Kick: kick, Swap: func(t *routes.Table) { swapped <- t }}
 	go r.Run(f.Stamp())
 	write("order")
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -40,11 +40,19 @@
 
 // New returns a front with its first table.
 func New(s front.Streams, set admission.Settings, f File, t *routes.Table, ready func() bool, log *slog.Logger) *Front {
-	o := &Front{streams: s, settings: set, file: f, table: t, plans: map[string]int{}, ready: ready, log: log}
+	o := &Front{streams: s, file: f, table: t, ready: ready, log: log}
+	o.Follow(set)
+	return o
+}
+
+// Follow goes on under other settings. A route whose class has gone with them stays in the table, and is not served.
+func (f *Front) Follow(set admission.Settings) {
+	f.settings, f.plans = set, map[string]int{}
 	for i, p := range set.Plans {
-		o.plans[p.Name] = i
+		if !p.Gone {
+			f.plans[p.Name] = i
+		}
 	}
-	return o
 }
 
 // Swap puts another table in place. Streams that are open keep the class and cost they began with.
@@ -71,6 +79,11 @@
 		problem(c, 404, nil, "no such path")
 		return
 	}
+	class := f.settings.Classes[m.Route.ClassIndex]
+	if class.Gone {
+		problem(c, 404, nil, "class "+class.Name+" is not served any more")
+		return
+	}
 	a, err := f.read(r, query, m)
 	if err != nil {
 		problem(c, 400, nil, err.Error())
--- a/internal/front/openapi/reload.go
+++ b/internal/front/openapi/reload.go
@@ -13,7 +13,7 @@
 // its own: to read a large description would hold up the loop.
 type Reloader struct {
 	File     File
-	Settings admission.Settings
+	Settings func() *admission.Settings // as they are now
 	Log      *slog.Logger
 	Every    time.Duration       // how often the description is looked at
 	Kick     <-chan struct{}     // told to reload
@@ -50,7 +50,7 @@
 		case <-r.Kick:
 			was = stampOf(r.File.Description)
 		}
-		table, err := r.File.Load(r.Settings)
+		table, err := r.File.Load(*r.Settings())
 		if err != nil {
 			r.Log.Error("routes not reloaded", "error", err)
 			continue
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -25,14 +25,24 @@
 
 // New returns a front. ready tells whether the daemon may be sent requests.
 func New(s front.Streams, set admission.Settings, ready func() bool) *Front {
-	f := &Front{streams: s, settings: set, classes: map[string]int{}, plans: map[string]int{}, ready: ready}
+	f := &Front{streams: s, ready: ready}
+	f.Follow(set)
+	return f
+}
+
+// Follow goes on under other settings. What has gone with them is known no more.
+func (f *Front) Follow(set admission.Settings) {
+	f.settings, f.classes, f.plans = set, map[string]int{}, map[string]int{}
 	for i, c := range set.Classes {
-		f.classes[c.Name] = i
+		if !c.Gone {
+			f.classes[c.Name] = i
+		}
 	}
 	for i, p := range set.Plans {
-		f.plans[p.Name] = i
+		if !p.Gone {
+			f.plans[p.Name] = i
+		}
 	}
-	return f
 }
 
 // Request answers what is no stream, and opens one for what is.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/admission"
 )
 
 const good = `{"balancers":3,"me":1,"period":4.0,"discovery":"push","classes":[{"name":"stock","deadline":3000.0005,` +
@@ -50,3 +52,32 @@
 		_, _ = Parse([]byte(text)) // must not panic
 	})
 }
+
+// Places are by name, whatever the order of the file: open streams and figures have them.
+func TestFollowKeepsPlaces(t *testing.T) {
+	class := func(name string, ms int) admission.Class {
+		return admission.Class{Name: name, Deadline: time.Duration(ms) * time.Millisecond}
+	}
+	start := admission.Settings{Classes: []admission.Class{class("a", 1), class("b", 2)}, Plans: []admission.Plan{{Name: "p"}}}
+	next, err := Follow(start, admission.Settings{MaxAttempts: 2, Classes: []admission.Class{class("c", 3), class("b", 4)},
+		Plans: []admission.Plan{{Name: "q"}}})
+	require.NoError(t, err)
+	gone := class("a", 1)
+	gone.Gone = true
+	require.Equal(t, []admission.Class{gone, class("b", 4), class("c", 3)}, next.Classes)
+	require.Equal(t, []admission.Plan{{Name: "p", Gone: true}, {Name: "q"}}, next.Plans)
+	require.Equal(t, 2, next.MaxAttempts)
+	require.False(t, start.Classes[0].Gone, "who has the old settings keeps them as they are")
+	back, err := Follow(next, admission.Settings{Classes: []admission.Class{class("a", 5)}, Plans: []admission.Plan{{Name: "p"}}})
+	require.NoError(t, err)
+	require.Equal(t, class("a", 5), back.Classes[0], "one that returns has its place")
+
+	_, err = Follow(start, admission.Settings{Classes: []admission.Class{class("a", 1), class("a", 2)}})
+	require.ErrorContains(t, err, `settings.classes[1].name is there twice: "a"`)
+	many := admission.Settings{}
+	for i := range mostNames {
+		many.Classes = append(many.Classes, class(strings.Repeat("x", i+1), 1))
+	}
+	_, err = Follow(start, many)
+	require.ErrorContains(t, err, "more than 256 names")
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -32,10 +32,9 @@
 // Config says where to export to and what the numbers of the core's records are called.
 type Config struct {
 	Endpoint, Instance, Version string
-	Classes, Plans              []string
-	Aims                        []time.Duration // of the classes: an answer after it is late
-	Every                       time.Duration   // between exports
-	Queue                       int             // records, and spans, that may wait
+	Settings                    admission.Settings // names of classes and plans; an answer after its class's aim is late
+	Every                       time.Duration      // between exports
+	Queue                       int                // records, and spans, that may wait
 	Log                         *slog.Logger
 }
 
@@ -55,6 +54,7 @@
 // Exporter is a [core.Observer].
 type Exporter struct {
 	cfg     Config
+	set     atomic.Pointer[admission.Settings] // those in force; places of classes and plans stay
 	queue   chan record
 	dropped atomic.Int64 // records and spans that found no room or could not be exported
 	waiting atomic.Int64 // spans made and not exported yet
@@ -107,10 +107,14 @@
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, fmt.Errorf("telemetry: %w", err)
 	}
+	e.Follow(cfg.Settings)
 	go e.run()
 	return e, nil
 }
 
+// Follow goes on under other settings.
+func (e *Exporter) Follow(s admission.Settings) { e.set.Store(&s) }
+
 // complainEvery bounds how often a failing endpoint is told of.
 const complainEvery = 30 * time.Second
 
@@ -164,19 +168,28 @@
 	}
 }
 
-func name(names []string, i int) string {
-	if i < 0 || i >= len(names) {
-		return "none"
+// class names a record's class.
+func (e *Exporter) class(i int) string {
+	if set := e.set.Load(); i >= 0 && i < len(set.Classes) {
+		return set.Classes[i].Name
+	}
+	return "none"
+}
+
+// plan names a record's plan.
+func (e *Exporter) plan(i int) string {
+	if set := e.set.Load(); i >= 0 && i < len(set.Plans) {
+		return set.Plans[i].Name
 	}
-	return names[i]
+	return "none"
 }
 
 // wall turns the loop's clock, which counts from the Unix epoch, into a time.
 func wall(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
 
 func (e *Exporter) stream(ctx context.Context, r *core.Record) {
-	class, end := attribute.String("class", name(e.cfg.Classes, r.Class)), attribute.String("end", kinds[r.Kind])
-	plan := attribute.String("plan", name(e.cfg.Plans, r.Plan))
+	class, end := attribute.String("class", e.class(r.Class)), attribute.String("end", kinds[r.Kind])
+	plan := attribute.String("plan", e.plan(r.Plan))
 	e.streams.Record(ctx, r.Took.Seconds(), metric.WithAttributes(class, plan, end))
 	for _, t := range r.Attempts {
 		if t.Took > 0 {
@@ -227,7 +240,8 @@
 
 // inTime tells whether a stream was served while its answer was of use.
 func (e *Exporter) inTime(r *core.Record) bool {
-	return r.Kind == core.Served && r.Class >= 0 && r.Class < len(e.cfg.Aims) && r.Took <= e.cfg.Aims[r.Class]
+	set := e.set.Load()
+	return r.Kind == core.Served && r.Class >= 0 && r.Class < len(set.Classes) && r.Took <= set.Classes[r.Class].Aim
 }
 
 // told is a generator of ids that gives out those that a context tells of: they went into headers long before
