--- a/admission/api.go
+++ b/admission/api.go
@@ -124,8 +124,12 @@
 	Retry     bool
 	Write     bool
 	Earlier   *Earlier // of a keyed request: where one with its key may have run, nil if none is known
+	Open      bool     // it has not wholly come: its time and its attempts' run from RequestWhole
 }
 
+// RequestWhole: a request that was open has wholly come.
+type RequestWhole struct{ ID uint64 }
+
 // Earlier is an attempt, made for another request with the same key, that may have run.
 type Earlier struct {
 	Server, Zone string
@@ -159,6 +163,7 @@
 	Billed  int // true units, 0 if not told
 	Used    int
 	Report  []float64
+	Gone    bool // part of the request is held nowhere any more: it can't be sent again
 }
 
 // StreamOpened: the answer of a streamed request has begun.
@@ -235,6 +240,7 @@
 }
 
 func (RequestArrived) isEvent()  {}
+func (RequestWhole) isEvent()    {}
 func (AttemptEnded) isEvent()    {}
 func (StreamOpened) isEvent()    {}
 func (ClientLeft) isEvent()      {}
--- a/admission/follow.go
+++ b/admission/follow.go
@@ -13,6 +13,34 @@
 
 func (SettingsChanged) isEvent() {}
 
+// note books an event that asks for no decision.
+func (g *Gateway) note(ev Event) {
+	switch ev := ev.(type) {
+	case SettingsChanged:
+		g.follow(ev.Settings)
+	case RequestWhole:
+		g.whole(ev.ID)
+	}
+}
+
+// whole starts a request's time anew, now that all of it has come, and its attempts': until then no server had
+// anything to run.
+func (g *Gateway) whole(id uint64) {
+	r := g.requests[id]
+	if r == nil || !r.open {
+		return
+	}
+	r.open = false
+	late := g.now - r.at
+	r.at, r.due, r.deadline = g.now, r.due+late, r.deadline+late
+	for i := range r.tries {
+		if t := &r.tries[i]; t.live {
+			t.at = g.now
+			t.s.out = append(t.s.out, g.now)
+		}
+	}
+}
+
 func (g *Gateway) follow(s Settings) {
 	if s.validate() != nil || len(s.Classes) < len(g.s.Classes) || len(s.Plans) < len(g.s.Plans) {
 		return
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -55,8 +55,8 @@
 		g.answered(ev)
 	case TimerFired:
 		g.fired(ev.Token)
-	case SettingsChanged:
-		g.follow(ev.Settings)
+	default:
+		g.note(ev)
 	}
 	return g.out
 }
--- a/admission/util.go
+++ b/admission/util.go
@@ -56,9 +56,9 @@
 	}
 }
 
-// spent tells whether a request has had all its attempts; a limit of 0 is none.
+// spent tells whether a request has had all its attempts, a limit of 0 is none, or can't be sent again.
 func (g *Gateway) spent(r *request) bool {
-	return g.s.MaxAttempts > 0 && len(r.tries) >= g.s.MaxAttempts
+	return r.gone || g.s.MaxAttempts > 0 && len(r.tries) >= g.s.MaxAttempts
 }
 
 // enroll books a request that has arrived. One of which an attempt may have run is a repeat from the start.
@@ -66,7 +66,7 @@
 	r := &request{id: ev.ID, class: &g.s.Classes[ev.Class], ci: ev.Class,
 		units: math.Max(1, float64(ev.Units)), at: g.now, deadline: g.now + ev.ExpiresIn,
 		lot: g.rng.Float64()}
-	r.due = min(r.at+r.class.Aim, r.deadline)
+	r.due, r.open = min(r.at+r.class.Aim, r.deadline), ev.Open
 	if e := ev.Earlier; e != nil {
 		there := ServerEntry{Name: e.Server, Zone: e.Zone, Cell: e.Cell}
 		r.maybe, r.maybeAt = &server{ServerEntry: there}, e.At
@@ -91,7 +91,9 @@
 	r.tries = append(r.tries, attempt{s: s, at: g.now, live: true})
 	r.live++
 	g.live++
-	s.out = append(s.out, g.now)
+	if !r.open { // else the server has nothing to run yet, and its silence tells nothing
+		s.out = append(s.out, g.now)
+	}
 }
 
 // ejection is how long a server is kept off that has failed so often.
@@ -107,6 +109,7 @@
 	t.live = false
 	r.live--
 	g.live--
+	r.gone = ev.Gone
 	g.observe(t, r, ev)
 	return t
 }
@@ -230,6 +233,7 @@
 	rateWindow      int64         // the window that inRate is in
 	lot             float64       // in [0,1): the one server that may take its next attempt while cold
 	over            bool
+	open, gone      bool // it has not wholly come; part of it is held nowhere any more
 	sent, done      bool
 	shown           bool // by a total to be under its ceiling
 	theirs, aside   bool // the predecessor's, and its units are kept off the ceiling's store
--- /dev/null
+++ b/cmd/ferryfront/sizes_test.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// long is a body of its own for each seed; it is never held whole by the test either.
+func long(seed int64, n int64) io.Reader { return io.LimitReader(rand.New(rand.NewSource(seed)), n) }
+
+func sum(r io.Reader) string {
+	h := sha256.New()
+	n, err := io.Copy(h, r)
+	return fmt.Sprintf("%d %x %v", n, h.Sum(nil), err)
+}
+
+// resident is how much memory a process holds, in bytes.
+func resident(t *testing.T, pid int) int64 {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	for line := range strings.Lines(string(b)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			require.NoError(t, err)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+const mib = 1 << 20
+
+// More bytes are under way at once than the memory limit holds, in both directions, sized and in chunks, and each
+// body arrives as it was sent. The readers are slow at first, so that nothing can simply pass through.
+func TestLongBodiesPassThrough(t *testing.T) {
+	const each, streams, limit = 8 * mib, 12, 64
+	w := newWorld(t)
+	w.change = func(config, settings map[string]any) {
+		config["limits"] = obj{"cores": 1, "memory_mb": limit, "sockets": 1024}
+		for _, c := range settings["classes"].([]obj) {
+			c["deadline"] = 20000
+		}
+	}
+	var gate sync.WaitGroup
+	gate.Add(streams)
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" {
+			gate.Done()
+			gate.Wait() // all are under way before the first is read
+			fmt.Fprint(rw, sum(r.Body))
+			return
+		}
+		seed, _ := strconv.ParseInt(r.URL.RawQuery, 10, 64)
+		if seed%2 == 0 {
+			rw.Header().Set("Content-Length", strconv.Itoa(each))
+		}
+		_, _ = io.Copy(rw, long(seed, each))
+	}
+	w.start()
+	var all sync.WaitGroup
+	for i := range int64(streams) {
+		all.Go(func() {
+			body := long(i, each)
+			if i%2 == 0 {
+				body = struct{ io.Reader }{body} // in chunks
+			}
+			r := w.request("POST", "/api/31", "order", body, "Request-Id", fmt.Sprint("u", i), "Idempotency-Key", fmt.Sprint("k", i),
+				"Request-Timeout", "15000m")
+			if i%2 == 1 {
+				r.ContentLength = each
+			}
+			got, err := w.do(r)
+			if err != nil || got.body != sum(long(i, each)) {
+				t.Errorf("upload %d: %d %v %.80q", i, got.status, err, got.body)
+			}
+		})
+	}
+	all.Wait()
+	gate.Add(streams)
+	for i := range int64(streams) {
+		r := w.request("GET", "/api/32?"+strconv.FormatInt(i, 10), "stock", nil, "Request-Id", fmt.Sprint("d", i))
+		all.Go(func() {
+			resp, err := http.DefaultClient.Do(r)
+			for err == nil && resp.StatusCode != 200 { // one host takes only so many at a time
+				resp.Body.Close()
+				time.Sleep(10 * time.Millisecond)
+				resp, err = http.DefaultClient.Do(r)
+			}
+			gate.Done()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer resp.Body.Close()
+			gate.Wait()
+			if got := sum(resp.Body); got != sum(long(i, each)) {
+				t.Errorf("download %d: %s", i, got)
+			}
+		})
+	}
+	all.Wait()
+	require.Less(t, resident(t, w.cmd.Process.Pid), int64(limit*mib))
+	require.Greater(t, each*streams, limit*mib)
+}
+
+// A client that sends slowly but within its rate is served; its time runs from the last byte.
+func TestATimeRunsFromTheLastByte(t *testing.T) {
+	w := newWorld(t).start()
+	const n = 200 << 10
+	c := w.raw(fmt.Sprintf("POST /api/33 HTTP/1.1\r\nRequest-Id: slow\r\nRequest-Class: order\r\nX-Plan: boutique\r\n"+
+		"Idempotency-Key: k\r\nRequest-Timeout: 900m\r\nContent-Length: %d\r\n\r\n", n))
+	piece := bytes.Repeat([]byte("x"), n/20)
+	for range 20 {
+		_, err := c.Write(piece)
+		require.NoError(t, err)
+		time.Sleep(75 * time.Millisecond) // the client's own pace, 1.5 s in all
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Contains(t, w.noted()[0], fmt.Sprint("body=", n))
+}
+
+// An answer that breaks off after it has begun is seen as broken off, whatever its framing and the client's.
+func TestAnAnswerThatBreaksOff(t *testing.T) {
+	w := newWorld(t)
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "sized" {
+			rw.Header().Set("Content-Length", strconv.Itoa(mib))
+		}
+		_, _ = rw.Write(make([]byte, 200<<10))
+		rw.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w.start()
+	for _, how := range []string{"sized", "chunked"} {
+		for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			c := w.raw("GET /api/34?" + how + " " + proto + "\r\nRequest-Id: " + how + proto[7:] + "\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.Error(t, err, "%s to %s", how, proto)
+		}
+	}
+}
+
+// Every form: in chunks with extensions and trailers and in any pieces, with the head alone first, to a client of
+// HTTP/1.0, ended by the connection, with requests sent ahead behind a long one.
+func TestFormsOfLongMessages(t *testing.T) {
+	w := newWorld(t)
+	const n = 150 << 10
+	answer := strings.Repeat("0123456789", n/10)
+	plain := func(text string) string { // a host of its own, that writes this and closes
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+						_, _ = io.WriteString(c, text)
+					}
+				}()
+			}
+		}()
+		return ln.Addr().String()
+	}
+	forms := map[string]string{
+		"h1": "HTTP/1.1 200 OK\r\n\r\n" + answer,
+		"h2": "HTTP/1.0 200 OK\r\nContent-Type: text/plain\r\n\r\n" + answer,
+		"h3": "HTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			fmt.Sprintf("%x;a=\"b\"\r\n%s\r\n1\r\n!\r\n0\r\nTrailer: t\r\n\r\n", n, answer),
+	}
+	for id, text := range forms {
+		w.hosts = map[string]http.HandlerFunc{id: nil}
+		x := newWorld(t)
+		x.hosts, x.at = map[string]http.HandlerFunc{id: nil}, map[string]string{id: plain(text)}
+		x.start()
+		want := answer
+		if id == "h3" {
+			want += "!"
+		}
+		got := x.get(x.request("GET", "/api/35", "stock", nil))
+		require.Equal(t, 200, got.status, id)
+		require.Equal(t, len(want), len(got.body), id)
+		require.True(t, want == got.body, id)
+		c := x.raw("GET /api/35 HTTP/1.0\r\nRequest-Id: old\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n")
+		old, err := io.ReadAll(c)
+		require.NoError(t, err, id)
+		require.True(t, strings.HasSuffix(string(old), "\r\n\r\n"+want), "%s: %.300q", id, old)
+	}
+	w = newWorld(t).start()
+	// In pieces of one byte around the borders, with what is sent ahead behind it.
+	text := "POST /api/36 HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: order\r\nX-Plan: boutique\r\nIdempotency-Key: k\r\n" +
+		"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n"
+	c := w.raw(text)
+	r := bufio.NewReader(c)
+	for _, want := range []string{"HTTP/1.1 100 Continue\r\n", "\r\n"} {
+		got, err := r.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+	for _, b := range []byte(fmt.Sprintf("%x;ext\r\n", n)) {
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	_, err := io.WriteString(c, answer)
+	require.NoError(t, err)
+	for _, b := range []byte("\r\n0\r\nT: x\r\n\r\nGET /api/36 HTTP/1.1\r\nRequest-Id: b\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n") {
+		_, err := c.Write([]byte{b})
+		require.NoError(t, err)
+	}
+	for _, id := range []string{"a", "b"} {
+		resp, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Contains(t, string(body), "id="+id)
+	}
+	require.Contains(t, w.noted()[0], fmt.Sprint("body=", n))
+}
+
+// A request that is answered before its body has come has its answer at once, though its client reads it last.
+func TestAnAnswerBeforeTheBodyHasEnded(t *testing.T) {
+	w := newWorld(t).start()
+	for _, c := range []struct {
+		class, plan string
+		status      int
+	}{{"none", "boutique", 400}, {"order", "none", 400}} {
+		r := w.request("POST", "/api/37", c.class, io.LimitReader(rand.New(rand.NewSource(1)), 5*mib), "X-Plan", c.plan, "Idempotency-Key", "k")
+		r.ContentLength = 5 * mib
+		conn, err := net.Dial("tcp", w.addr)
+		require.NoError(t, err)
+		defer conn.Close()
+		require.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+		require.NoError(t, r.Write(conn)) // all of it, before anything is read
+		resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+		require.NoError(t, err)
+		require.Equal(t, c.status, resp.StatusCode)
+	}
+	require.Empty(t, w.noted())
+}
+
+func TestBodiesThatAreNone(t *testing.T) {
+	w := newWorld(t).start()
+	head := "POST /api/38 HTTP/1.1\r\nRequest-Id: a\r\nRequest-Class: order\r\nX-Plan: boutique\r\nIdempotency-Key: k\r\n"
+	big := strings.Repeat("x", 100<<10)
+	for text, status := range map[string]int{
+		head + "Content-Length: 33554433\r\n\r\n":                                               413,
+		head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n":                        400,
+		head + "Transfer-Encoding: chunked\r\n\r\n19000\r\n" + big + "\r\nzz\r\n":               400,
+		head + "Transfer-Encoding: chunked\r\n\r\n19000\r\n" + big + "longer than told\r\n":     400,
+		head + "Transfer-Encoding: chunked\r\n\r\n19000\r\n" + big + "\r\nffffffffffffffff\r\n": 400,
+		head + "Transfer-Encoding: chunked\r\n\r\n19000\r\n" + big + "\r\n1ffffff\r\n":          413,
+	} {
+		resp, err := http.ReadResponse(bufio.NewReader(w.raw(text)), nil)
+		require.NoError(t, err, "%.200q", text)
+		require.Equal(t, status, resp.StatusCode, "%.200q", text)
+	}
+	// One that ends short is no request: nothing of it is taken to have come.
+	c := w.raw(head + "Content-Length: 204800\r\n\r\n" + big)
+	require.NoError(t, c.(*net.TCPConn).CloseWrite())
+	_, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Equal(t, 200, w.get(w.request("GET", "/api/38", "stock", nil)).status)
+	for _, got := range w.noted() {
+		require.NotContains(t, got, "body=204800")
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,9 +26,15 @@
 	Attempt int
 }
 
-// Payload is what a stream carries to its upstream host. The core does not look into it.
+// Payload is what a stream carries to its upstream host. The core does not look into it. One of which a part may be
+// gone once it was sent has a method Gone, which tells so.
 type Payload any
 
+func gone(p Payload) bool {
+	g, ok := p.(interface{ Gone() bool })
+	return ok && g.Gone()
+}
+
 // Upstreams carries out upstream requests. Each started one ends with one call of
 // [Core.UpstreamEnded], unless it was cancelled; ending within Start is fine.
 type Upstreams interface {
@@ -50,6 +56,7 @@
 type Answer struct {
 	Body        []byte
 	ContentType string
+	Rest        any // what comes after Body, nil: nothing. The core does not look into it
 }
 
 // EndKind tells how a stream ended.
@@ -88,6 +95,7 @@
 	Trace                    Trace
 	Payload                  Payload
 	Owner                    Owner
+	Open                     bool // part of it is still to come: its time runs from Whole
 }
 
 // Record is what an observer is told of an ended stream.
@@ -119,6 +127,7 @@
 type attempt struct {
 	AttemptRecord
 	live bool
+	wait time.Duration // of one sent before its request was whole: from then on; 0: to the deadline
 }
 
 type stream struct {
@@ -132,6 +141,8 @@
 	retry       bool
 	window      time.Duration // for which a repeat of its key is recognised, as its class said when it came
 	trace       Trace
+	expires     time.Duration // of one that is open: its time, once it is whole
+	open        bool
 	closed      bool
 	timedOut    bool // its last upstream request ran out of time
 	attempts    []attempt
@@ -176,6 +187,7 @@
 	keys    map[string]struct{} // of the streams
 	probes  map[uint64]probe
 	open    int // streams not ended
+	coming  int // those of them whose requests are not whole
 	timers  timerq.Queue[due]
 	events  []admission.Event
 	spare   []admission.Event
@@ -265,8 +277,12 @@
 		trace: r.Trace}
 	c.streams[s.id] = s
 	c.open++
-	c.timers.Push(s.ends, due{kind: deadline, ref: Ref{Stream: s.id}})
-	c.timers.Push(s.ends+c.margin/2, due{kind: overdue, ref: Ref{Stream: s.id}})
+	if r.Open {
+		s.open, s.expires, s.ends = true, ev.ExpiresIn, c.now+openMost
+		c.coming++
+	} else {
+		c.runOut(s)
+	}
 	c.events = append(c.events, ev)
 	return s.id
 }
@@ -297,6 +313,7 @@
 	c.Tick(now)
 	s := c.streams[ref.Stream]
 	if s == nil || ref.Attempt >= len(s.attempts) || !s.attempts[ref.Attempt].live {
+		drop(a)
 		return
 	}
 	t := &s.attempts[ref.Attempt]
@@ -305,11 +322,14 @@
 	s.timedOut = o == admission.TimedOut
 	if o == admission.OK && !s.closed {
 		c.end(s, End{Kind: Served, Answer: a})
+	} else {
+		drop(a)
 	}
 	if s.order != "" && unran(o) {
 		c.orders.unran(s.order, t.Host, t.Began)
 	}
-	ev := admission.AttemptEnded{ID: s.id, Attempt: ref.Attempt, Server: t.Host, Outcome: o, Took: t.Took, Done: s.closed}
+	ev := admission.AttemptEnded{ID: s.id, Attempt: ref.Attempt, Server: t.Host, Outcome: o, Took: t.Took, Done: s.closed,
+		Gone: gone(s.payload)}
 	c.events = append(c.events, ev)
 	if c.witness != nil {
 		c.witness.AttemptEnded(ev, c.now)
@@ -326,25 +346,6 @@
 	}
 }
 
-// Follow goes on under other settings, from the next event on. Streams that are open keep what they came with.
-func (c *Core) Follow(now time.Duration, s admission.Settings) {
-	c.Tick(now)
-	c.orders.windows = Windows(s.Classes)
-	c.events = append(c.events, admission.SettingsChanged{Settings: s})
-}
-
-// Windows are the times, by class, for which a repeat of a key is recognised; 0 where a class has no keys.
-func Windows(classes []admission.Class) (windows []time.Duration) {
-	for _, class := range classes {
-		window := time.Duration(0)
-		if class.Effect == admission.Keyed {
-			window = class.RepeatWindow
-		}
-		windows = append(windows, window)
-	}
-	return windows
-}
-
 // Counted takes the answer to a counter call.
 func (c *Core) Counted(ev admission.CounterAnswered) {
 	c.events = append(c.events, ev)
@@ -511,12 +512,12 @@
 		return
 	}
 	ref := Ref{s.id, len(s.attempts)}
-	s.attempts = append(s.attempts, attempt{AttemptRecord{Host: a.Server, Began: c.now}, true})
+	s.attempts = append(s.attempts, attempt{AttemptRecord: AttemptRecord{Host: a.Server, Began: c.now}, live: true})
 	s.live++
 	if c.witness != nil {
 		c.witness.Sent(s.id, a.Server, c.now)
 	}
-	if s.closed || c.now >= s.ends || a.Wait < 0 {
+	if s.closed || c.now >= s.ends || a.Wait < 0 || gone(s.payload) {
 		c.UpstreamEnded(c.now, ref, admission.NotSent, Answer{})
 		return
 	}
@@ -524,7 +525,9 @@
 		c.orders.sent(s.order, a.Server, c.now, s.window)
 	}
 	wait := s.ends - c.now
-	if a.Wait > 0 && a.Wait < wait {
+	if s.open {
+		s.attempts[ref.Attempt].wait, wait = a.Wait, s.expires
+	} else if a.Wait > 0 && a.Wait < wait {
 		wait = a.Wait
 		c.timers.Push(c.now+wait, due{kind: waitOver, ref: ref})
 	}
@@ -535,6 +538,9 @@
 func (c *Core) end(s *stream, e End) {
 	s.closed = true
 	c.open--
+	if s.open {
+		c.coming--
+	}
 	e.Sent = len(s.attempts) > 0
 	c.tally(s.class, e.Kind)
 	owner := s.owner
@@ -552,20 +558,6 @@
 	c.forget(s)
 }
 
-// tally counts the end of a request. One that its client abandoned has none.
-func (c *Core) tally(class int, kind EndKind) {
-	f := c.figures.Class(class)
-	switch {
-	case f == nil || kind == Left:
-	case kind == Served:
-		f.Success++
-	case kind == Refused:
-		f.Busy++
-	default:
-		f.Failure++
-	}
-}
-
 func (c *Core) forget(s *stream) {
 	if s.closed && s.live == 0 {
 		s.payload = nil
--- /dev/null
+++ b/internal/core/open.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+)
+
+// Streams whose requests are still coming, and what else of a stream changes while it is open.
+
+// openMost bounds the time of a stream whose request never becomes whole; who reads it gives up long before.
+const openMost = time.Hour
+
+// runOut sets the timers of a stream's deadline.
+func (c *Core) runOut(s *stream) {
+	c.timers.Push(s.ends, due{kind: deadline, ref: Ref{Stream: s.id}})
+	c.timers.Push(s.ends+c.margin/2, due{kind: overdue, ref: Ref{Stream: s.id}})
+}
+
+// Whole tells that a request which was open has wholly come: its time runs from now.
+func (c *Core) Whole(now time.Duration, id uint64) {
+	c.Tick(now)
+	s := c.streams[id]
+	if s == nil || !s.open || s.closed {
+		return
+	}
+	s.open, s.ends = false, c.now+s.expires
+	c.coming--
+	c.runOut(s)
+	for i := range s.attempts {
+		t := &s.attempts[i]
+		if !t.live {
+			continue
+		}
+		if s.order != "" {
+			c.orders.moved(s.order, t.Host, t.Began, c.now, s.window)
+		}
+		t.Began = c.now
+		if t.wait > 0 && t.wait < s.expires {
+			c.timers.Push(c.now+t.wait, due{kind: waitOver, ref: Ref{s.id, i}})
+		}
+	}
+	c.events = append(c.events, admission.RequestWhole{ID: id})
+}
+
+// Taken tells how many of the open streams' requests have wholly come.
+func (c *Core) Taken() int { return c.open - c.coming }
+
+// Follow goes on under other settings, from the next event on. Streams that are open keep what they came with.
+func (c *Core) Follow(now time.Duration, s admission.Settings) {
+	c.Tick(now)
+	c.orders.windows = Windows(s.Classes)
+	c.events = append(c.events, admission.SettingsChanged{Settings: s})
+}
+
+// Windows are the times, by class, for which a repeat of a key is recognised; 0 where a class has no keys.
+func Windows(classes []admission.Class) (windows []time.Duration) {
+	for _, class := range classes {
+		window := time.Duration(0)
+		if class.Effect == admission.Keyed {
+			window = class.RepeatWindow
+		}
+		windows = append(windows, window)
+	}
+	return windows
+}
+
+// drop tells who sends the rest of an answer that nobody takes it.
+func drop(a Answer) {
+	if r, ok := a.Rest.(interface{ Drop() }); ok {
+		r.Drop()
+	}
+}
+
+// tally counts the end of a request. One that its client abandoned has none.
+func (c *Core) tally(class int, kind EndKind) {
+	f := c.figures.Class(class)
+	switch {
+	case f == nil || kind == Left:
+	case kind == Served:
+		f.Success++
+	case kind == Refused:
+		f.Busy++
+	default:
+		f.Failure++
+	}
+}
--- a/internal/core/orders.go
+++ b/internal/core/orders.go
@@ -84,6 +84,13 @@
 	}
 }
 
+// moved notes that what was sent at a time runs from another on: only then had all of it come.
+func (o *orders) moved(key, host string, was, now, window time.Duration) {
+	if k := o.byKey[key]; k != nil && k.ran && k.host == host && k.at == was {
+		k.at, k.until = now, now+window
+	}
+}
+
 // unran notes that what was sent at a time has surely not run.
 func (o *orders) unran(key, host string, at time.Duration) {
 	if k := o.byKey[key]; k != nil && k.ran && k.host == host && k.at == at {
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -41,6 +41,6 @@
 	if d.core == nil {
 		return d.figures.Append(room, figures.Present{})
 	}
-	return d.figures.Append(room, figures.Present{InFlight: d.core.Open(), Listed: d.watcher.Listed(),
+	return d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 type Streams interface {
 	Arrive(now time.Duration, r core.Request) uint64
 	Leave(now time.Duration, id uint64)
+	Whole(now time.Duration, id uint64)
 	Observed() bool
 }
 
@@ -39,6 +40,7 @@
 	if len(r.Body) > 0 {
 		m.Body = append([]byte(nil), r.Body...)
 	}
+	m.Rest = r.Rest
 	return m
 }
 
@@ -62,7 +64,7 @@
 			return fmt.Errorf("%q holds what is no visible character", text)
 		}
 	}
-	if r.Method == "GET" && len(r.Body) > 0 {
+	if r.Method == "GET" && (len(r.Body) > 0 || r.Open) {
 		return fmt.Errorf("a GET has no body")
 	}
 	return nil
@@ -75,7 +77,8 @@
 // another that is open, nor its idempotency key.
 func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) bool {
 	req := core.Request{RequestArrived: a, Key: r.Headers.Get("Request-Id"), Order: r.Headers.Get("Idempotency-Key"),
-		Owner: o}
+		Owner: o, Open: r.Open}
+	req.RequestArrived.Open = r.Open
 	m := Message(r)
 	if s.Observed() {
 		req.Trace = trace(a.Customer, req.Order, r)
@@ -124,6 +127,10 @@
 	if a.ContentType != "" {
 		h = http1.Headers{{Name: "Content-Type", Value: a.ContentType}}
 	}
+	if rest := upstream.Rest(a); rest != nil {
+		c.Relay(200, h, a.Body, rest)
+		return
+	}
 	c.Reply(200, h, a.Body)
 }
 
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -84,6 +85,10 @@
 		problem(c, 404, nil, "class "+class.Name+" is not served any more")
 		return
 	}
+	if r.Open && slices.ContainsFunc(m.Route.Required, func(q routes.Field) bool { return q.In == routes.InBody }) {
+		problem(c, 413, nil, "a body whose fields are to be checked is too long")
+		return
+	}
 	a, err := f.read(r, query, m)
 	if err != nil {
 		problem(c, 400, nil, err.Error())
@@ -100,6 +105,9 @@
 // Left tells the core that a client has gone.
 func (f *Front) Left(c *downstream.Conn) { f.streams.Leave(c.Now(), c.Stream) }
 
+// Whole tells the core that the body of an open request has come.
+func (f *Front) Whole(c *downstream.Conn) { f.streams.Whole(c.Now(), c.Stream) }
+
 // Malformed answers what could not be read.
 func (f *Front) Malformed(c *downstream.Conn, status int, what string) { problem(c, status, nil, what) }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -15,10 +15,15 @@
 	Upstream   int // connections to upstream hosts held at once
 	HeadBytes  int // of a message's start line and headers
 	BodyBytes  int // of a message's body
+	KeepBytes  int // of a body that is kept whole, since a try again needs it; a longer one is passed on as it comes
+	FlowBytes  int // of a body passed on, held between its two connections; all of them are a part of the memory
 
 	DownstreamIdle time.Duration // a client connection silent this long between requests is closed
 	FirstTime      time.Duration // from connecting, in which a first request must be whole
-	HeadTime       time.Duration // in which a further request that has begun must be whole
+	HeadTime       time.Duration // from its first byte, in which a request's head must be whole
+	BodyRate       int           // bytes a second of a body, beyond that time; a slower one is given up
+	FlowSilence    time.Duration // a body passed on is given up when its peer gives or takes nothing for this long
+	FlowEarly      time.Duration // after which an answer of unknown length is passed on though it may be short
 	FreshTime      time.Duration // for which a connection that was never served is left its place, however scarce
 	Linger         time.Duration // for which bytes of a closed connection are still read
 	LingerBytes    int           // and how many
@@ -73,6 +78,13 @@
 // downstreamPart of all descriptors, in percent, are for clients at the most.
 const downstreamPart = 25
 
+// Bodies that are passed on hold a part of the memory at the most.
+const (
+	flowPart  = 4
+	flowMost  = 64 << 10
+	flowLeast = 8 << 10
+)
+
 // Site is what the configuration tells of the machine and of its peers.
 type Site struct {
 	Sockets, MemoryMB                  int
@@ -104,8 +116,9 @@
 func For(s Site) (Limits, error) {
 	l := Limits{
 		Sockets: s.Sockets, MemoryMB: s.MemoryMB,
-		HeadBytes: 16 << 10, BodyBytes: 64 << 10,
-		DownstreamIdle: 30 * time.Second, FirstTime: 2 * time.Second, HeadTime: 2 * time.Second,
+		HeadBytes: 16 << 10, BodyBytes: 32 << 20, KeepBytes: 64 << 10,
+		DownstreamIdle: 30 * time.Second, FirstTime: 2 * time.Second, HeadTime: 3 * time.Second,
+		BodyRate: 48 << 10, FlowSilence: 20 * time.Second, FlowEarly: 100 * time.Millisecond,
 		FreshTime: 25 * time.Millisecond, Linger: time.Second, LingerBytes: 1 << 20, Accepts: 64, Ahead: 16,
 		Callers: 16, CallerBytes: 256, CallerTime: 6 * time.Second,
 		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
@@ -147,5 +160,7 @@
 	// there: if that third were reached before our own bound, nobody could connect and we would close nothing.
 	l.Downstream = min(free/2, l.Sockets*downstreamPart/100)
 	l.Upstream = free - l.Downstream
+	// Each client may have one body under way, held once as it comes and once as it is written.
+	l.FlowBytes = min(flowMost, max(flowLeast, l.MemoryMB<<20/flowPart/max(1, 2*l.Downstream)))
 	return l, nil
 }
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -215,7 +215,7 @@
 		k.lost(err.Error())
 		return false
 	}
-	k.parser = http1.NewResponseParser(k.c.lim.HeadBytes, k.c.lim.BodyBytes)
+	k.parser = http1.NewResponseParser(k.c.lim.HeadBytes, k.c.lim.KeepBytes, 0)
 	k.up, k.out, k.queued, k.wrote, k.heard = false, k.out[:0], 0, 0, now
 	k.dialing = k.c.loop.After(k.c.lim.DialLimit, func() { k.fail("no connection in time") })
 	return true
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -211,7 +211,7 @@
 func (w *Watcher) dial() {
 	w.again.Stop()
 	w.next.close()
-	x := &watch{w: w, parser: http1.NewResponseParser(w.lim.HeadBytes, w.lim.ClusterBytes), since: w.loop.Now()}
+	x := &watch{w: w, parser: http1.NewResponseParser(w.lim.HeadBytes, w.lim.ClusterBytes, 0), since: w.loop.Now()}
 	w.next = nil
 	fd, err := loop.Dial(w.addr)
 	if err == nil {
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -4,7 +4,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
 	"time"
@@ -17,7 +16,8 @@
 // Front is given the requests of its listener. It answers each with one [Conn.Reply], at once or later.
 type Front interface {
 	Request(c *Conn, r *http1.Request)
-	Left(c *Conn) // the client of an unanswered request has gone
+	Left(c *Conn)  // the client of an unanswered request has gone
+	Whole(c *Conn) // the body of a request that was open has come to its end
 	Malformed(c *Conn, status int, what string)
 }
 
@@ -106,7 +106,7 @@
 			s.log.Warn("accept failed", "error", err)
 			return
 		}
-		c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes), since: s.loop.Now(),
+		c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes), since: s.loop.Now(),
 			opened: s.loop.Now()}
 		if err := s.enter(c, fd); err != nil {
 			s.log.Warn("accept failed", "error", err)
@@ -184,16 +184,23 @@
 	now := s.loop.Now()
 	for c := range s.conns {
 		switch {
-		case c.lingering && now-c.since > s.lim.Linger:
+		case c.lingering && now-c.since > c.lingerTime():
 			c.drop()
+		case c.down != nil:
+			if now-c.down.moved > s.lim.FlowSilence {
+				c.gone()
+			}
+		case c.up != nil && c.slow(now):
+			c.cut()
+			c.malformed(408, "request not whole in time")
 		case s.held: // not read, so what it has not shown is not its fault
 		case c.busy || c.lingering:
-		case !c.served && now-c.opened > s.lim.FirstTime, c.served && c.parser.Begun() && now-c.since > s.lim.HeadTime:
-			if c.parser.Begun() {
+		case c.parser.Begun():
+			if now-c.since > s.lim.HeadTime+time.Duration(c.parser.Body())*time.Second/time.Duration(s.lim.BodyRate) {
 				c.malformed(408, "request not whole in time")
-			} else {
-				c.finish()
 			}
+		case !c.served && now-c.opened > s.lim.FirstTime:
+			c.finish()
 		case now-c.since > s.lim.DownstreamIdle:
 			c.finish()
 		}
@@ -246,12 +253,16 @@
 	out        []byte        // not written yet
 	since      time.Duration // idle, or ending; of a request that has begun, its first byte
 	opened     time.Duration
-	served     bool // it has had an answer that is no complaint
-	dropped    int  // bytes read after the end
-	busy       bool // a request awaits its answer
-	head       bool // its method is HEAD
-	last       bool // close after the present answer
-	lingering  bool // our side has ended; what still comes is read and dropped
+	served     bool      // it has had an answer that is no complaint
+	dropped    int       // bytes read after the end
+	unread     bool      // of a request that was answered before it had come
+	busy       bool      // a request awaits its answer
+	head       bool      // its method is HEAD
+	old        bool      // it is of HTTP/1.0
+	up         *upload   // of the present request's body, nil if it is whole
+	down       *download // of the present answer's, nil if it was given whole
+	last       bool      // close after the present answer
+	lingering  bool      // our side has ended; what still comes is read and dropped
 	parsing    bool
 	prev, next *Conn // in the list that it is in
 	in         *list
@@ -297,6 +308,9 @@
 func (c *Conn) read() {
 	buf := c.s.loop.Buf()
 	for {
+		if c.up != nil { // no more than there is room for
+			buf = buf[:min(len(buf), max(1, c.up.pipe.Room()))]
+		}
 		n, err := loop.Read(c.src.FD(), buf)
 		if errors.Is(err, loop.ErrAgain) {
 			break
@@ -309,15 +323,16 @@
 			c.since = c.s.loop.Now()
 		}
 		c.parser.Feed(buf[:n])
-		if n < len(buf) || c.parser.Buffered() > c.most() {
+		if n < len(buf) || c.up != nil || c.parser.Buffered() > c.most() {
 			break
 		}
 	}
+	c.upload()
 	c.parse()
 }
 
 // most bounds what a client may send ahead of its answers.
-func (c *Conn) most() int { return c.s.lim.HeadBytes + c.s.lim.BodyBytes }
+func (c *Conn) most() int { return c.s.lim.HeadBytes + c.s.lim.KeepBytes }
 
 // parse hands on the next request, and the next again if it was answered at once.
 func (c *Conn) parse() {
@@ -333,12 +348,7 @@
 		}
 		req, err := c.parser.Next()
 		if err != nil {
-			status := 400
-			var pe *http1.ParseError
-			if errors.As(err, &pe) {
-				status = pe.Status
-			}
-			c.malformed(status, err.Error())
+			c.complain(err)
 			return
 		}
 		if req == nil {
@@ -347,23 +357,44 @@
 			}
 			break
 		}
-		c.busy, c.head = true, req.Method == "HEAD"
+		c.busy, c.head, c.old = true, req.Method == "HEAD", req.Old
 		c.last = c.last || req.Close
 		c.unlist()
+		if req.Open {
+			c.begin(req)
+			continue
+		}
 		c.ln.front.Request(c, req)
 	}
 	c.want()
 }
 
+// complain answers what could not be read.
+func (c *Conn) complain(err error) {
+	status := 400
+	var pe *http1.ParseError
+	if errors.As(err, &pe) {
+		status = pe.Status
+	}
+	c.malformed(status, err.Error())
+}
+
 // want watches for what can be used: no more input than is bounded, output only while some waits.
 func (c *Conn) want() {
 	if c.src.FD() < 0 {
 		return
 	}
 	events := uint32(loop.Hangup)
-	if c.s.held && !c.busy && !c.lingering {
+	switch {
+	case c.s.held && !c.busy && !c.lingering:
 		events = 0
-	} else if c.lingering || c.parser.Buffered() <= c.most() {
+	case c.lingering:
+		events |= loop.In
+	case c.up != nil:
+		if events = 0; c.up.pipe.Room() > 0 { // else its end is learnt of when there is room again
+			events = loop.In | loop.Hangup
+		}
+	case c.parser.Buffered() <= c.most():
 		events |= loop.In
 	}
 	if len(c.out) > 0 {
@@ -374,6 +405,7 @@
 
 func (c *Conn) malformed(status int, what string) {
 	c.busy, c.last = true, true
+	c.unread = c.unread || status == 413 // its client may write all of it before it reads
 	c.unlist()
 	c.ln.front.Malformed(c, status, what)
 }
@@ -384,15 +416,30 @@
 		return
 	}
 	c.busy, c.Stream = false, 0
-	if c.Trace != "" {
-		h = append(h[:len(h):len(h)], http1.Header{Name: "traceparent", Value: c.Trace})
-		c.Trace = ""
+	h = c.traced(h)
+	if c.up != nil { // what still comes of the request is read and dropped
+		c.last = true
+		c.dropUpload()
 	}
 	c.served = c.served || status < 400 || status == 429 || status >= 500
 	c.last = c.last || c.s.draining
 	if !c.write(http1.AppendResponse(nil, status, h, body, c.last, c.head)) {
 		return
 	}
+	c.answered()
+}
+
+// traced adds the trace that the answer gives back.
+func (c *Conn) traced(h http1.Headers) http1.Headers {
+	if c.Trace != "" {
+		h = append(h[:len(h):len(h)], http1.Header{Name: "traceparent", Value: c.Trace})
+		c.Trace = ""
+	}
+	return h
+}
+
+// answered goes on after an answer, as far as it is ours to write.
+func (c *Conn) answered() {
 	if c.last {
 		c.finish()
 		return
@@ -437,50 +484,24 @@
 		if c.lingering {
 			c.endSending()
 		}
+		c.pump()
+		if c.src.FD() < 0 {
+			return false
+		}
+	} else if n > 0 && c.down != nil {
+		c.down.moved = c.s.loop.Now()
 	}
 	c.want()
 	return true
 }
 
-// finish ends our side once all is written. The other side is read on for a while: to close on bytes
-// not read would reset the connection and could destroy the answer on its way.
-func (c *Conn) finish() {
-	if c.lingering || c.src.FD() < 0 {
-		return
-	}
-	c.unlist()
-	c.lingering, c.since = true, c.s.loop.Now()
-	if len(c.out) == 0 {
-		c.endSending()
-	}
-	c.want()
-}
-
-func (c *Conn) endSending() {
-	if err := loop.EndSending(c.src.FD()); err != nil {
-		c.drop()
-		return
-	}
-	c.s.leaving.push(c)
-}
-
-// discard reads what still comes, one read a turn and not without end: a client that sends on and on must not
-// hold the loop.
-func (c *Conn) discard() {
-	n, err := loop.Read(c.src.FD(), c.s.loop.Buf())
-	c.dropped += n
-	switch {
-	case errors.Is(err, loop.ErrAgain):
-	case errors.Is(err, io.EOF) && len(c.out) > 0:
-		c.src.Want(loop.Out) // the client has ended its side and still takes the answer
-	case err != nil, c.dropped > c.s.lim.LingerBytes:
-		c.drop()
-	}
-}
-
 // gone: the client has closed.
 func (c *Conn) gone() {
 	busy := c.busy
+	if c.up != nil {
+		c.up.pipe.End(false)
+		c.up = nil
+	}
 	c.drop()
 	if busy {
 		c.busy = false
@@ -493,45 +514,12 @@
 		return
 	}
 	c.src.Close()
+	c.dropUpload()
+	if c.down != nil {
+		c.down.pipe.Drop()
+		c.down = nil
+	}
 	c.unlist()
 	delete(c.s.conns, c)
 	c.s.resume()
 }
-
-// list is a doubly linked list of connections.
-type list struct {
-	first, last *Conn
-	n           int
-}
-
-func (l *list) push(c *Conn) {
-	c.unlist()
-	c.prev, c.next, c.in = l.last, nil, l
-	l.n++
-	if l.last != nil {
-		l.last.next = c
-	} else {
-		l.first = c
-	}
-	l.last = c
-}
-
-// unlist takes a connection out of its list, if it is in one.
-func (c *Conn) unlist() {
-	l := c.in
-	if l == nil {
-		return
-	}
-	if c.prev != nil {
-		c.prev.next = c.next
-	} else {
-		l.first = c.next
-	}
-	if c.next != nil {
-		c.next.prev = c.prev
-	} else {
-		l.last = c.prev
-	}
-	c.prev, c.next, c.in = nil, nil, nil
-	l.n--
-}
--- /dev/null
+++ b/internal/net/downstream/flow.go
@@ -0,0 +1,182 @@
+package downstream
+
+import (
+	"time"
+
+	"ferryfront.example/ferryfront/internal/net/flow"
+	"ferryfront.example/ferryfront/internal/net/http1"
+)
+
+// Bodies that are passed on while they come: requests' upwards, answers' downwards.
+
+// upload is a request's body of which more comes.
+type upload struct {
+	pipe  *flow.Pipe
+	since time.Duration // from when its rate counts; moved on while there is no room for more
+	got   int
+}
+
+// begin hands on an open request: its front may send it on before its body has come.
+func (c *Conn) begin(req *http1.Request) {
+	u := &upload{pipe: flow.New(c.s.lim.FlowBytes, req.Length), since: c.s.loop.Now()}
+	req.Rest, c.up = u.pipe, u
+	u.pipe.OnRoom = c.want
+	c.ln.front.Request(c, req)
+	if c.up == nil {
+		return
+	}
+	if c.parser.WantsContinue() {
+		c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	c.upload()
+}
+
+// upload passes on what has come of the body. It tells whether the connection may be read on.
+func (c *Conn) upload() {
+	if c.up == nil || c.up.pipe.Room() == 0 || c.src.FD() < 0 {
+		return
+	}
+	u := c.up
+	b, whole, err := c.parser.Pull()
+	if err != nil {
+		c.cut()
+		c.complain(err)
+		return
+	}
+	u.got += len(b)
+	u.pipe.Put(b)
+	if whole {
+		c.up = nil
+		u.pipe.End(true)
+		if c.busy {
+			c.ln.front.Whole(c)
+		}
+	}
+}
+
+// cut ends an upload that will never be whole, and its stream with it.
+func (c *Conn) cut() {
+	u := c.up
+	c.up = nil
+	u.pipe.End(false)
+	if c.busy {
+		c.ln.front.Left(c)
+	}
+}
+
+// slow tells whether a body comes slower than it may. Time for which nobody takes it is not its client's.
+func (c *Conn) slow(now time.Duration) bool {
+	u := c.up
+	if u.pipe.Room() == 0 {
+		u.since += sweepEvery
+		return false
+	}
+	return now-u.since > c.s.lim.HeadTime+time.Duration(u.got)*time.Second/time.Duration(c.s.lim.BodyRate)
+}
+
+// download is an answer's body of which more comes.
+type download struct {
+	pipe    *flow.Pipe
+	framing http1.Framing
+	moved   time.Duration // when the client last took some, or there was none to take
+}
+
+// Relay answers the present request with a body that is still coming. Should it break off, so does the connection:
+// the client can tell that it has not all of it.
+func (c *Conn) Relay(status int, h http1.Headers, begin []byte, rest *flow.Pipe) {
+	if c.src.FD() < 0 || !c.busy {
+		rest.Drop()
+		return
+	}
+	c.Stream = 0
+	h = c.traced(h)
+	c.served = true
+	c.last = c.last || c.s.draining || c.up != nil
+	d := &download{pipe: rest, moved: c.s.loop.Now()}
+	switch {
+	case rest.Length >= 0:
+	case c.old:
+		d.framing, c.last = http1.ByClose, true
+	default:
+		d.framing = http1.ByChunks
+	}
+	c.dropUpload()
+	c.down = d
+	b := http1.AppendOpenResponse(nil, status, h, rest.Length, d.framing, c.last)
+	if !c.write(d.frame(b, begin)) {
+		return
+	}
+	rest.OnData = c.pump
+	c.pump()
+}
+
+func (d *download) frame(b, data []byte) []byte {
+	if d.framing == http1.ByChunks {
+		return http1.AppendChunk(b, data)
+	}
+	return append(b, data...)
+}
+
+// pump writes what has come, as long as the client takes it.
+func (c *Conn) pump() {
+	d := c.down
+	if d == nil || c.src.FD() < 0 {
+		return
+	}
+	if len(c.out) == 0 {
+		d.moved = c.s.loop.Now()
+	}
+	if b := d.pipe.Next(); len(b) > 0 && len(c.out) == 0 {
+		framed := d.frame(make([]byte, 0, len(b)+16), b)
+		if !c.write(framed) {
+			return
+		}
+		d.pipe.Took(len(b))
+	}
+	switch {
+	case d.pipe.Broken() && len(d.pipe.Next()) == 0:
+		c.abort()
+	case d.pipe.Whole() && c.down == d:
+		c.down = nil
+		if d.framing == http1.ByChunks && !c.write(http1.AppendLastChunk(nil)) {
+			return
+		}
+		c.busy = false
+		c.answered()
+	}
+}
+
+// abort ends a connection whose answer can't be finished. One whose end would be taken for the answer's is reset.
+func (c *Conn) abort() {
+	if c.down != nil && c.down.framing == http1.ByClose {
+		c.src.Reset()
+	}
+	c.drop()
+}
+
+// dropUpload lets go of the rest of a request that has its answer. It is still read, and goes nowhere.
+func (c *Conn) dropUpload() {
+	if c.up != nil {
+		c.up.pipe.Drop()
+		c.up, c.unread = nil, true
+	}
+}
+
+// lingerTime is for how long bytes are still read after our end. A client that writes all of a long body before it
+// reads would else never see the answer that came meanwhile.
+func (c *Conn) lingerTime() time.Duration {
+	if c.unread {
+		return c.s.lim.FlowSilence
+	}
+	return c.s.lim.Linger
+}
+
+// Relaying tells how many answers are on their way and not wholly written.
+func (s *Server) Relaying() (n int) {
+	for c := range s.conns {
+		if c.down != nil {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -119,7 +119,7 @@
 		loop.CloseFD(fd)
 		return nil
 	}
-	p, err := http1.RestoreRequestParser(st.Parser, s.lim.HeadBytes, s.lim.BodyBytes)
+	p, err := http1.RestoreRequestParser(st.Parser, s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes)
 	if err != nil {
 		loop.CloseFD(fd)
 		return err
--- a/internal/net/downstream/handover_test.go
+++ b/internal/net/downstream/handover_test.go
@@ -24,7 +24,8 @@
 func (f *script) Request(c *Conn, r *http1.Request) {
 	f.got, f.open = append(f.got, r.Target), append(f.open, c)
 }
-func (f *script) Left(*Conn) {}
+func (f *script) Left(*Conn)  {}
+func (f *script) Whole(*Conn) {}
 func (f *script) Malformed(c *Conn, status int, what string) {
 	c.Reply(status, nil, []byte(what))
 }
--- /dev/null
+++ b/internal/net/flow/flow.go
@@ -0,0 +1,92 @@
+// Package flow carries a body from the connection that it is read from to the one that it is written to, piece by
+// piece and with back-pressure: it never holds more than its window.
+package flow
+
+// Pipe belongs to the loop's goroutine. One side puts and ends, the other takes and may drop.
+type Pipe struct {
+	Length int64  // of the whole body, -1 where it is not told ahead
+	OnData func() // the taker's: there is more, or it has ended. It must not be taken for leave to call back at once
+	OnRoom func() // the putter's: there is room, or nobody takes any more. The same holds
+
+	most    int
+	buf     []byte
+	taken   int64
+	whole   bool // ended well
+	broken  bool // ended before its end
+	dropped bool
+}
+
+// New returns an empty pipe with a window in bytes.
+func New(window int, length int64) *Pipe { return &Pipe{most: window, Length: length} }
+
+// Room tells how many bytes may be put.
+func (p *Pipe) Room() int {
+	if p.dropped {
+		return p.most // they go nowhere
+	}
+	return max(0, p.most-len(p.buf))
+}
+
+// Put appends bytes. They are copied.
+func (p *Pipe) Put(b []byte) {
+	if p.dropped || len(b) == 0 {
+		return
+	}
+	p.buf = append(p.buf, b...)
+	p.tell()
+}
+
+// End tells that no more comes, and whether that was all.
+func (p *Pipe) End(whole bool) {
+	if p.whole || p.broken {
+		return
+	}
+	p.whole, p.broken = whole, !whole
+	p.tell()
+}
+
+func (p *Pipe) tell() {
+	if p.OnData != nil && !p.dropped {
+		p.OnData()
+	}
+}
+
+// Next returns what may be taken; it is good until Took.
+func (p *Pipe) Next() []byte { return p.buf }
+
+// Took tells how many bytes of Next were taken.
+func (p *Pipe) Took(n int) {
+	if n == 0 {
+		return
+	}
+	p.taken += int64(n)
+	if p.buf = p.buf[n:]; len(p.buf) == 0 {
+		p.buf = nil
+	}
+	if p.OnRoom != nil {
+		p.OnRoom()
+	}
+}
+
+// Taken tells whether any byte has been: what was is not to be had again.
+func (p *Pipe) Taken() bool { return p.taken > 0 }
+
+// Whole tells whether all has come and been taken.
+func (p *Pipe) Whole() bool { return p.whole && len(p.buf) == 0 }
+
+// Broken tells whether it has ended before its end.
+func (p *Pipe) Broken() bool { return p.broken }
+
+// Drop tells that nobody takes any more. It is safe on nil.
+func (p *Pipe) Drop() {
+	if p == nil || p.dropped {
+		return
+	}
+	p.dropped, p.buf, p.OnData = true, nil, nil
+	if p.OnRoom != nil {
+		p.OnRoom()
+	}
+}
+
+// Dropped tells whether nobody takes any more.
+func (p *Pipe) Dropped() bool { return p.dropped }
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"ferryfront.example/ferryfront/internal/net/flow"
 )
 
 // Header is one header field as it stood.
@@ -62,12 +64,16 @@
 	return &ParseError{Status: status, What: fmt.Sprintf(format, args...)}
 }
 
-// Request is one whole request.
+// Request is one request: whole, or, if Open, with a body of which more comes.
 type Request struct {
 	Method, Target string
 	Headers        Headers
-	Body           []byte // good until the parser's next call
-	Close          bool   // the client wants the connection closed after the answer
+	Body           []byte     // good until the parser's next call
+	Close          bool       // the client wants the connection closed after the answer
+	Old            bool       // HTTP/1.0: it knows no chunks
+	Open           bool       // Body is only its beginning; see Pull
+	Length         int64      // of the whole body, -1 where it is not told ahead
+	Rest           *flow.Pipe // what comes after Body, put there by who reads it; nil unless Open
 }
 
 // Path is the target without its query.
@@ -76,12 +82,14 @@
 	return path
 }
 
-// Response is one whole response.
+// Response is one response: whole, or, if Open, with a body of which more comes.
 type Response struct {
 	Status  int
 	Headers Headers
 	Body    []byte // good until the parser's next call
 	Close   bool   // the connection ends with it
+	Open    bool   // Body is only its beginning; see Pull
+	Length  int64  // of the whole body, -1 where it is not told ahead
 }
 
 // framing is how the end of a body is told.
@@ -96,6 +104,7 @@
 // reader holds what both parsers share: the buffer, the head and the body.
 type reader struct {
 	headMost, bodyMost int
+	keep               int // of a body: one that is longer is handed on open; 0: none is
 
 	room    []byte // what buf is a part of
 	buf     []byte // not parsed yet
@@ -105,6 +114,8 @@
 	left    int // of a sized body, or of the present chunk, which ends with CRLF
 	chunk   chunkState
 	body    []byte
+	passed  int // bytes of a body that is open which have been pulled
+	open    bool
 	trail   int // bytes of trailers
 }
 
@@ -147,6 +158,9 @@
 // Buffered tells how many bytes wait to be parsed.
 func (r *reader) Buffered() int { return len(r.buf) }
 
+// Body tells how many bytes of the present message's body have been read.
+func (r *reader) Body() int { return r.passed + len(r.body) }
+
 // Begun tells whether part of a message has come.
 func (r *reader) Begun() bool { return r.inBody || len(r.buf) > 0 }
 
@@ -212,7 +226,7 @@
 // frame reads from the fields how the body ends. Two ways at once, or two lengths, are refused:
 // whoever else reads the message may choose the other.
 func (r *reader) frame(h Headers, closes bool) error {
-	r.inBody, r.body, r.left, r.chunk, r.trail = true, r.body[:0], 0, chunkSize, 0
+	r.inBody, r.body, r.left, r.chunk, r.trail, r.passed, r.open = true, r.body[:0], 0, chunkSize, 0, 0, false
 	r.framing = sized
 	length, coded := "", false
 	for i := range h {
@@ -258,7 +272,7 @@
 	case untilClose:
 		r.left = len(r.buf)
 		r.move()
-		if len(r.body) > r.bodyMost {
+		if r.passed+len(r.body) > r.bodyMost {
 			return false, bad(413, "body over %d bytes", r.bodyMost)
 		}
 		return false, nil
@@ -295,7 +309,7 @@
 				if err != nil || digits[0] == '+' {
 					return false, bad(400, "malformed size of a chunk")
 				}
-				if len(r.body)+int(n) > r.bodyMost {
+				if r.passed+len(r.body)+int(n) > r.bodyMost {
 					return false, bad(413, "body over %d bytes", r.bodyMost)
 				}
 				if r.left, r.chunk = int(n), chunkData; n == 0 {
@@ -321,11 +335,38 @@
 		}
 		return "", false, nil
 	}
-	line := strings.TrimSuffix(string(r.buf[:r.scanned+i]), "\r")
+	line, ok := strings.CutSuffix(string(r.buf[:r.scanned+i]), "\r")
+	if !ok { // some take a bare line feed for the end of a chunk's line and some do not: two messages for one
+		return "", false, bad(400, "line of a chunk without CR")
+	}
 	r.take(r.scanned + i + 1)
 	return line, true, nil
 }
 
+// long tells whether the body that is being read is not to be waited for.
+func (r *reader) long() bool {
+	return r.keep > 0 && !r.open && (len(r.body) > r.keep || r.framing == sized && r.left+len(r.body) > r.keep)
+}
+
+// length is that of the whole body, -1 where it is not told ahead.
+func (r *reader) length() int64 {
+	if r.framing != sized {
+		return -1
+	}
+	return int64(r.passed + len(r.body) + r.left)
+}
+
+// Pull takes what has come of an open body since the last call, and tells whether that was the end of it.
+func (r *reader) Pull() (b []byte, whole bool, err error) {
+	r.passed += len(r.body)
+	r.body = r.body[:0]
+	whole, err = r.more()
+	if whole {
+		r.inBody, r.open = false, false
+	}
+	return r.body, whole, err
+}
+
 // RequestParser reads the requests of one connection.
 type RequestParser struct {
 	reader
@@ -333,12 +374,12 @@
 	continues bool
 }
 
-// NewRequestParser bounds heads and bodies.
-func NewRequestParser(headMost, bodyMost int) *RequestParser {
-	return &RequestParser{reader: reader{headMost: headMost, bodyMost: bodyMost}}
+// NewRequestParser bounds heads and bodies. A body longer than keep is handed on while it comes; 0: none is.
+func NewRequestParser(headMost, bodyMost, keep int) *RequestParser {
+	return &RequestParser{reader: reader{headMost: headMost, bodyMost: bodyMost, keep: keep}}
 }
 
-// Next returns the next whole request, or nil as long as there is none.
+// Next returns the next request, or nil as long as there is none. After an open one, Pull goes on until its end.
 func (p *RequestParser) Next() (*Request, error) {
 	if !p.inBody {
 		start, h, ok, err := p.head()
@@ -356,17 +397,21 @@
 		if err := p.frame(h, false); err != nil {
 			return nil, err
 		}
-		p.req = &Request{Method: method, Target: target, Headers: h, Close: h.hasToken("Connection", "close") ||
+		p.req = &Request{Method: method, Target: target, Headers: h, Old: proto == "HTTP/1.0", Close: h.hasToken("Connection", "close") ||
 			proto == "HTTP/1.0" && !h.hasToken("Connection", "keep-alive")}
 		p.continues = proto == "HTTP/1.1" && strings.EqualFold(h.Get("Expect"), "100-continue")
 	}
 	whole, err := p.more()
-	if !whole || err != nil {
+	if err != nil || !whole && !p.long() {
 		return nil, err
 	}
-	p.inBody, p.continues = false, false
 	req := p.req
-	p.req, req.Body = nil, p.body
+	p.req, req.Body, req.Length = nil, p.body, p.length()
+	if whole {
+		p.inBody, p.continues = false, false
+	} else {
+		p.open, req.Open = true, true
+	}
 	return req, nil
 }
 
@@ -377,72 +422,3 @@
 	p.continues = false
 	return want
 }
-
-// ResponseParser reads the responses of one connection.
-type ResponseParser struct {
-	reader
-	resp *Response
-}
-
-// NewResponseParser bounds heads and bodies.
-func NewResponseParser(headMost, bodyMost int) *ResponseParser {
-	return &ResponseParser{reader: reader{headMost: headMost, bodyMost: bodyMost}}
-}
-
-// Next returns the next whole response, or nil as long as there is none.
-func (p *ResponseParser) Next() (*Response, error) {
-	for !p.inBody {
-		start, h, ok, err := p.head()
-		if !ok || err != nil {
-			return nil, err
-		}
-		proto, rest, _ := strings.Cut(start, " ")
-		code, _, _ := strings.Cut(rest, " ")
-		status, err := strconv.Atoi(code)
-		if err != nil || len(code) != 3 || status < 100 || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
-			return nil, bad(502, "malformed status line")
-		}
-		if status < 200 { // an interim response: the real one follows
-			continue
-		}
-		if err := p.frame(h, status != 204 && status != 304); err != nil {
-			return nil, err
-		}
-		if status == 204 || status == 304 {
-			p.framing, p.left = sized, 0
-		}
-		p.resp = &Response{Status: status, Headers: h, Close: p.framing == untilClose ||
-			h.hasToken("Connection", "close") || proto == "HTTP/1.0" && !h.hasToken("Connection", "keep-alive")}
-	}
-	whole, err := p.more()
-	if !whole || err != nil {
-		return nil, err
-	}
-	return p.done(), nil
-}
-
-func (p *ResponseParser) done() *Response {
-	p.inBody = false
-	resp := p.resp
-	p.resp, resp.Body = nil, p.body
-	return resp
-}
-
-// End is told that the connection has ended; it returns the response that this completes, if any.
-func (p *ResponseParser) End() *Response {
-	if p.inBody && p.framing == untilClose {
-		return p.done()
-	}
-	return nil
-}
-
-// Partial takes what has come so far of a body that is read as it comes, and its status; 0 before
-// the head is whole.
-func (p *ResponseParser) Partial() (status int, body []byte) {
-	if p.resp == nil {
-		return 0, nil
-	}
-	body = p.body
-	p.body = nil
-	return p.resp.Status, body
-}
--- a/internal/net/http1/state.go
+++ b/internal/net/http1/state.go
@@ -19,7 +19,8 @@
 	Close, Continues, HasStart bool
 }
 
-// State copies what the parser holds.
+// State copies what the parser holds. A request of HTTP/1.0 is carried as one that closes, and one that closes is
+// taken for such: its answer may end with the connection.
 func (p *RequestParser) State() State {
 	s := State{Buffered: slices.Clone(p.buf), Scanned: p.scanned, InBody: p.inBody, Framing: int(p.framing), Left: p.left,
 		Chunk: int(p.chunk), Trail: p.trail, Continues: p.continues}
@@ -28,15 +29,15 @@
 	}
 	if p.req != nil {
 		s.HasStart = true
-		s.Method, s.Target, s.Headers, s.Close = p.req.Method, p.req.Target, p.req.Headers, p.req.Close
+		s.Method, s.Target, s.Headers, s.Close = p.req.Method, p.req.Target, p.req.Headers, p.req.Close || p.req.Old
 	}
 	return s
 }
 
 // RestoreRequestParser returns a parser that goes on where another stopped. A state that no parser can be in
 // is an error: whoever sent it can't be trusted with the rest.
-func RestoreRequestParser(s State, headMost, bodyMost int) (*RequestParser, error) {
-	p := NewRequestParser(headMost, bodyMost)
+func RestoreRequestParser(s State, headMost, bodyMost, keep int) (*RequestParser, error) {
+	p := NewRequestParser(headMost, bodyMost, keep)
 	if s.Scanned < 0 || s.Scanned > len(s.Buffered) || s.Left < 0 || s.Left > bodyMost || len(s.Body) > bodyMost ||
 		s.InBody != s.HasStart || s.Framing < int(sized) || s.Framing > int(chunked) || s.Trail < 0 ||
 		s.Chunk < int(chunkSize) || s.Chunk > int(chunkTrailer) {
@@ -47,7 +48,7 @@
 	p.left, p.chunk, p.trail, p.continues = s.Left, chunkState(s.Chunk), s.Trail, s.Continues
 	p.body = slices.Clone(s.Body)
 	if s.InBody {
-		p.req = &Request{Method: s.Method, Target: s.Target, Headers: s.Headers, Close: s.Close}
+		p.req = &Request{Method: s.Method, Target: s.Target, Headers: s.Headers, Close: s.Close, Old: s.Close}
 	}
 	return p, nil
 }
--- a/internal/net/http1/write.go
+++ b/internal/net/http1/write.go
@@ -16,14 +16,76 @@
 	b = append(b, "\r\n"...)
 	b = appendHeaders(b, h)
 	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
-		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(body)), 10)
-		b = append(b, "\r\n"...)
+		b = appendLength(b, int64(len(body)))
 	}
 	b = append(b, "\r\n"...)
 	return append(b, body...)
 }
 
+// AppendOpenRequest appends a request's head, and the beginning of its body of which more follows; where no
+// length is told ahead (below 0), in chunks.
+func AppendOpenRequest(b []byte, method, target, host string, h Headers, begin []byte, length int64) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\n"...)
+	b = appendHeaders(b, h)
+	if length >= 0 {
+		return append(append(appendLength(b, length), "\r\n"...), begin...)
+	}
+	return AppendChunk(append(b, "Transfer-Encoding: chunked\r\n\r\n"...), begin)
+}
+
+func appendLength(b []byte, n int64) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, n, 10)
+	return append(b, "\r\n"...)
+}
+
+// AppendChunk appends one chunk, none for no bytes: an empty one would be the last.
+func AppendChunk(b, data []byte) []byte {
+	if len(data) == 0 {
+		return b
+	}
+	b = strconv.AppendInt(b, int64(len(data)), 16)
+	b = append(b, "\r\n"...)
+	return append(append(b, data...), "\r\n"...)
+}
+
+// AppendLastChunk appends the end of a body in chunks.
+func AppendLastChunk(b []byte) []byte { return append(b, "0\r\n\r\n"...) }
+
+// Framing is how a body that is written while it comes will end.
+type Framing int
+
+const (
+	BySize   Framing = iota // told ahead
+	ByChunks                // with an empty chunk
+	ByClose                 // with the connection
+)
+
+// AppendOpenResponse appends the head of a response whose body follows.
+func AppendOpenResponse(b []byte, status int, h Headers, length int64, f Framing, closing bool) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	b = append(b, "\r\n"...)
+	b = appendHeaders(b, h)
+	if closing {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	switch f {
+	case BySize:
+		b = appendLength(b, length)
+	case ByChunks:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
 // AppendResponse appends a response with its length. The body of an answer to HEAD is left out.
 func AppendResponse(b []byte, status int, h Headers, body []byte, closing, head bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
@@ -35,9 +97,7 @@
 	if closing {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(b, "Content-Length: "...)
-	b = strconv.AppendInt(b, int64(len(body)), 10)
-	b = append(b, "\r\n\r\n"...)
+	b = append(appendLength(b, int64(len(body))), "\r\n"...)
 	if head {
 		return b
 	}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -149,6 +149,13 @@
 	s.fd = -1
 }
 
+// Reset has a following Close reset the connection: its peer must not take the end for an orderly one.
+func (s *Source) Reset() {
+	if s.fd >= 0 { // without it the end is an ordinary one
+		_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+}
+
 // Detach stops watching a descriptor and leaves it open; it is the caller's from then on. Closing alone takes
 // it out of epoll only when no other process holds it.
 func (s *Source) Detach() int {
--- /dev/null
+++ b/internal/net/upstream/flow.go
@@ -0,0 +1,157 @@
+package upstream
+
+import (
+	"time"
+
+	"ferryfront.example/ferryfront/internal/core"
+	"ferryfront.example/ferryfront/internal/net/flow"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
+)
+
+// Bodies that are passed on while they come: requests' to the host, answers' from it.
+
+// Gone tells whether part of the body has been written and is held nowhere any more: such a message can't be sent
+// again.
+func (m *Message) Gone() bool { return m.Rest != nil && m.Rest.Taken() }
+
+// Rest is what still comes of an answer.
+func Rest(a core.Answer) *flow.Pipe {
+	p, _ := a.Rest.(*flow.Pipe)
+	return p
+}
+
+// attach begins to take a request's body as it comes.
+func (c *conn) attach(rest *flow.Pipe) {
+	c.body = rest
+	rest.OnData = func() {
+		if c.up && c.src.FD() >= 0 && len(c.out) == 0 {
+			c.flush()
+		}
+	}
+}
+
+// detach lets go of a request's body; another upstream request may go on with it, as long as none of it is gone.
+func (c *conn) detach() {
+	if c.body != nil {
+		c.body.OnData = nil
+		c.body = nil
+	}
+}
+
+// draw takes what has come of the body into out. It tells whether there was any, or the end.
+func (c *conn) draw() bool {
+	if c.body == nil {
+		return false
+	}
+	b := c.body.Next()
+	if len(b) == 0 && !c.body.Whole() {
+		return false
+	}
+	c.out = c.out[:0]
+	if c.body.Length >= 0 {
+		c.out = append(c.out, b...)
+	} else {
+		c.out = http1.AppendChunk(c.out, b)
+	}
+	c.body.Took(len(b))
+	if c.body.Whole() {
+		if c.body.Length < 0 {
+			c.out = http1.AppendLastChunk(c.out)
+		}
+		c.detach()
+	}
+	return true
+}
+
+// relay is the body of an answer that is passed on.
+type relay struct {
+	pipe  *flow.Pipe
+	moved time.Duration // when the host last gave some, or there was no room for it
+}
+
+// open passes an answer on of which more comes. For its stream that is the answer; the connection goes on with it.
+func (c *conn) open(resp *http1.Response) {
+	ref := c.ref
+	c.early.Stop()
+	delete(c.p.out, ref)
+	pipe := flow.New(c.p.lim.FlowBytes, resp.Length)
+	c.relay = &relay{pipe: pipe, moved: c.p.loop.Now()}
+	c.closes = resp.Close || len(c.out) > 0 || c.body != nil
+	c.detach()
+	c.p.relays[c] = struct{}{}
+	pipe.OnRoom = func() {
+		if pipe.Dropped() {
+			c.unrelay()
+			c.close()
+			return
+		}
+		c.watch()
+	}
+	body := append([]byte(nil), resp.Body...) // the parser's next call takes its room
+	c.p.ended(ref, c.probe, outcome(resp), core.Answer{Body: body, ContentType: resp.Headers.Get("Content-Type"), Rest: pipe})
+	if c.relay != nil {
+		c.pull()
+	}
+}
+
+// pull moves on what has come of the answer.
+func (c *conn) pull() {
+	b, whole, err := c.parser.Pull()
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	r := c.relay
+	r.moved = c.p.loop.Now()
+	r.pipe.Put(b)
+	if whole && c.relay == r {
+		c.relayed()
+		return
+	}
+	c.watch()
+}
+
+// watch reads on where there is room.
+func (c *conn) watch() {
+	if c.relay == nil || c.src.FD() < 0 {
+		return
+	}
+	if c.relay.pipe.Room() == 0 {
+		c.src.Want(0) // a reset is told all the same
+		return
+	}
+	c.src.Want(loop.In | loop.Hangup)
+}
+
+// relayed ends an answer that has come whole. The connection is free for the next request.
+func (c *conn) relayed() {
+	pipe := c.relay.pipe
+	c.unrelay()
+	c.busy = false
+	if c.closes || c.parser.Buffered() > 0 {
+		c.close()
+	} else {
+		c.rest()
+	}
+	pipe.End(true)
+	c.parser.Rest()
+}
+
+func (c *conn) unrelay() {
+	c.relay.pipe.OnRoom = nil
+	c.relay, c.busy = nil, false
+	delete(c.p.relays, c)
+}
+
+// silent gives up what makes no progress: a host that gives nothing of an answer it has begun, or takes nothing of a
+// request's body.
+func (p *Pool) silent(now time.Duration) {
+	for c := range p.relays {
+		if c.relay.pipe.Room() == 0 {
+			c.relay.moved = now
+		} else if now-c.relay.moved > p.lim.FlowSilence {
+			c.fail(errSilent)
+		}
+	}
+}
--- a/internal/net/upstream/handover.go
+++ b/internal/net/upstream/handover.go
@@ -50,7 +50,7 @@
 		loop.CloseFD(fd)
 		return nil
 	}
-	c := &conn{p: p, h: h, parser: http1.NewResponseParser(p.lim.HeadBytes, p.lim.BodyBytes), up: true, since: since}
+	c := &conn{p: p, h: h, parser: http1.NewResponseParser(p.lim.HeadBytes, p.lim.BodyBytes, p.lim.KeepBytes), up: true, since: since}
 	var err error
 	if c.src, err = p.loop.Watch(fd, loop.In|loop.Hangup, c); err != nil {
 		loop.CloseFD(fd)
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -12,6 +12,7 @@
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
 	"ferryfront.example/ferryfront/internal/tracecontext"
@@ -22,6 +23,7 @@
 	Method, Target string
 	Headers        http1.Headers // those that pass on
 	Body           []byte
+	Rest           *flow.Pipe // what comes after Body; nil: nothing
 	Trace          core.Trace // that the upstream host is told of; zero: none
 }
 
@@ -33,15 +35,16 @@
 
 // Pool holds the connections of all upstream hosts.
 type Pool struct {
-	loop  *loop.Loop
-	lim   limits.Limits
-	log   *slog.Logger
-	sink  Sink
-	hosts map[string]*host
-	out   map[core.Ref]*conn
-	conns int
-	whole *uint64       // counts requests written whole, probes aside
-	told  time.Duration // when the operator was last told of one not opened
+	loop   *loop.Loop
+	lim    limits.Limits
+	log    *slog.Logger
+	sink   Sink
+	hosts  map[string]*host
+	out    map[core.Ref]*conn
+	relays map[*conn]struct{} // those that pass an answer on
+	conns  int
+	whole  *uint64       // counts requests written whole, probes aside
+	told   time.Duration // when the operator was last told of one not opened
 
 	elsewhere int // connections that another process of this ingress holds
 	hand      func(host string, since time.Duration, fd int)
@@ -57,7 +60,8 @@
 // New returns a pool that knows no hosts. SetSink must follow before the first request.
 // whole counts the requests that have been written whole.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, whole *uint64) *Pool {
-	p := &Pool{loop: l, lim: lim, log: log, whole: whole, hosts: map[string]*host{}, out: map[core.Ref]*conn{}}
+	p := &Pool{loop: l, lim: lim, log: log, whole: whole, hosts: map[string]*host{}, out: map[core.Ref]*conn{},
+		relays: map[*conn]struct{}{}}
 	l.After(sweepEvery, p.sweep)
 	return p
 }
@@ -86,6 +90,7 @@
 			c.close()
 		}
 	}
+	p.silent(now)
 }
 
 // Host enters an upstream host or its new address.
@@ -132,6 +137,10 @@
 	out     []byte // of the request, not written yet
 	since   time.Duration
 	dialing *loop.Timer
+	body    *flow.Pipe  // of the request, what is not in out yet; nil: nothing
+	early   *loop.Timer // for an answer of which nobody can tell how long it will be
+	relay   *relay      // of the answer, passed on while it comes; nil: it is not
+	closes  bool        // the connection ends with that
 }
 
 // Start sends a request to a host.
@@ -169,11 +178,18 @@
 			headers = append(headers, http1.Header{Name: "tracestate", Value: t.State})
 		}
 	}
-	b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
+	if m.Rest != nil {
+		b = http1.AppendOpenRequest(b, m.Method, m.Target, "service.internal", headers, m.Body, m.Rest.Length)
+	} else {
+		b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
+	}
 	if n := len(h.idle); n > 0 {
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
 		c.begin(ref, probe, b)
+		if m.Rest != nil {
+			c.attach(m.Rest)
+		}
 		c.flush()
 		return
 	}
@@ -187,9 +203,15 @@
 		return
 	}
 	c.begin(ref, probe, b)
+	if m.Rest != nil {
+		c.attach(m.Rest)
+	}
 }
 
-var errFull = errors.New("all upstream connections in use")
+var (
+	errFull   = errors.New("all upstream connections in use")
+	errSilent = errors.New("no progress")
+)
 
 func (p *Pool) dial(h *host) (*conn, error) {
 	if p.conns+p.elsewhere >= p.lim.Upstream && !p.makeRoom() {
@@ -202,7 +224,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{p: p, h: h, parser: http1.NewResponseParser(p.lim.HeadBytes, p.lim.BodyBytes)}
+	c := &conn{p: p, h: h, parser: http1.NewResponseParser(p.lim.HeadBytes, p.lim.BodyBytes, p.lim.KeepBytes)}
 	if c.src, err = p.loop.Watch(fd, loop.Out|loop.Hangup, c); err != nil {
 		return nil, err
 	}
@@ -229,6 +251,7 @@
 func (p *Pool) Cancel(ref core.Ref) {
 	if c := p.out[ref]; c != nil {
 		c.busy = false
+		c.detach()
 		delete(p.out, ref)
 		c.close()
 	}
@@ -265,20 +288,29 @@
 	if events&(loop.In|loop.Hangup) != 0 {
 		c.read()
 	}
-	if events&loop.Out != 0 && c.src.FD() >= 0 && len(c.out) > 0 {
+	if events&loop.Out != 0 && c.relay == nil && c.src.FD() >= 0 && len(c.out) > 0 {
 		c.flush()
 	}
 }
 
 func (c *conn) flush() {
-	n, err := loop.Write(c.src.FD(), c.out)
-	c.out = c.out[n:]
-	if err != nil {
-		c.fail(err)
-		return
+	for {
+		n, err := loop.Write(c.src.FD(), c.out)
+		c.out = c.out[n:]
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if len(c.out) > 0 {
+			c.src.Want(loop.In | loop.Out | loop.Hangup)
+			return
+		}
+		if !c.draw() {
+			break
+		}
 	}
-	if len(c.out) > 0 {
-		c.src.Want(loop.In | loop.Out | loop.Hangup)
+	if c.body != nil { // more comes
+		c.src.Want(loop.In | loop.Hangup)
 		return
 	}
 	if c.out != nil && !c.probe {
@@ -291,14 +323,22 @@
 func (c *conn) read() {
 	buf := c.p.loop.Buf()
 	for {
+		if c.relay != nil { // no more than there is room for
+			buf = buf[:min(len(buf), max(1, c.relay.pipe.Room()))]
+		}
 		n, err := loop.Read(c.src.FD(), buf)
 		if errors.Is(err, loop.ErrAgain) {
 			return
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && c.busy && len(c.out) == 0 {
-				// A good answer that ends with its connection can't be told from one that was cut off there.
-				if resp := c.parser.End(); resp != nil && resp.Status != 200 {
+			if errors.Is(err, io.EOF) && c.relay != nil && c.parser.EndsHere() {
+				c.closes = true
+				c.relayed()
+				return
+			}
+			if errors.Is(err, io.EOF) && c.busy && c.relay == nil && len(c.out) == 0 {
+				// That it was cut off there can't be told from an answer without a length that ends as it must.
+				if resp := c.parser.End(); resp != nil {
 					c.answer(resp)
 					return
 				}
@@ -311,14 +351,28 @@
 			return
 		}
 		c.parser.Feed(buf[:n])
+		if c.relay != nil { // the others have their turns
+			c.pull()
+			return
+		}
 		resp, err := c.parser.Next()
-		if err != nil {
+		switch {
+		case err != nil:
 			c.fail(err)
 			return
-		}
-		if resp != nil {
+		case resp != nil && resp.Open:
+			c.open(resp)
+			return
+		case resp != nil:
 			c.answer(resp)
 			return
+		case c.early == nil && c.parser.Unbounded():
+			// What is so short that its last byte counts is soon here; of what is long the first bytes count.
+			c.early = c.p.loop.After(c.p.lim.FlowEarly, func() {
+				if resp := c.parser.Early(); resp != nil && c.busy && c.src.FD() >= 0 {
+					c.open(resp)
+				}
+			})
 		}
 		if n < len(buf) {
 			return
@@ -331,25 +385,33 @@
 func (c *conn) answer(resp *http1.Response) {
 	ref, probe := c.ref, c.probe
 	c.busy = false
+	c.early.Stop()
+	c.early = nil
 	delete(c.p.out, ref)
 	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type")}
-	if resp.Close || len(c.out) > 0 || c.parser.Buffered() > 0 {
+	if resp.Close || len(c.out) > 0 || c.body != nil || c.parser.Buffered() > 0 {
+		c.detach()
 		c.close()
 	} else {
-		c.since = c.p.loop.Now()
-		switch {
-		case c.p.hosts[c.h.name] != c.h:
-			c.close()
-		case c.p.hand != nil:
-			c.give()
-		default:
-			c.h.idle = append(c.h.idle, c)
-		}
+		c.rest()
 	}
 	c.p.ended(ref, probe, outcome(resp), answer)
 	c.parser.Rest()
 }
 
+// rest keeps the connection for the next request.
+func (c *conn) rest() {
+	c.since = c.p.loop.Now()
+	switch {
+	case c.p.hosts[c.h.name] != c.h:
+		c.close()
+	case c.p.hand != nil:
+		c.give()
+	default:
+		c.h.idle = append(c.h.idle, c)
+	}
+}
+
 // outcome tells what a response says of its request.
 func outcome(r *http1.Response) admission.Outcome {
 	switch {
@@ -364,12 +426,20 @@
 // fail ends the connection and what was out on it. Before the last byte of a request was written
 // it can't have run; after that it may have.
 func (c *conn) fail(error) {
+	if c.relay != nil { // its answer can't be taken back; who takes it can tell that it is not whole
+		pipe := c.relay.pipe
+		c.unrelay()
+		c.close()
+		pipe.End(false)
+		return
+	}
 	o := admission.Broken
-	if !c.up || len(c.out) > 0 {
+	if !c.up || len(c.out) > 0 || c.body != nil {
 		o = admission.Unreachable
 	}
 	busy := c.busy
 	c.busy = false
+	c.detach()
 	c.close()
 	if busy {
 		delete(c.p.out, c.ref)
@@ -382,6 +452,7 @@
 		return
 	}
 	c.dialing.Stop()
+	c.early.Stop()
 	c.src.Close()
 	c.p.conns--
 	for i, o := range c.h.idle {
