Make room by silence in a crowd: who writes a request slowly is kept as long as it writes

Cause: downstream.makeRoom closed the oldest connection not served yet as soon as it was 25 ms old, whether or not its client was writing.

Change: connections that have begun a request have a list of their own, in order of their last byte. The one to go is the one silent longest; one that has shown nothing counts four times, one that had its answer twice. Way not taken: a set time for the first request, which cuts off who needs it or lets the others sit.

The test fails on the program as it was.

--- a/cmd/ferryfront/sizes_test.go
+++ b/cmd/ferryfront/sizes_test.go
@@ -287,3 +287,48 @@
 		require.NotContains(t, got, "body=204800")
 	}
 }
+
+// Places are few and thousands connect that never finish a request, while others ask once and stay: who writes its
+// request for 2 s, a piece at a time, still gets its answer.
+func TestASlowWriterIsKeptInACrowd(t *testing.T) {
+	w := newWorld(t)
+	w.change = func(config, _ map[string]any) { config["limits"].(obj)["sockets"] = 192 }
+	w.start()
+	stop := make(chan struct{})
+	var crowd sync.WaitGroup
+	for i := range 4 {
+		crowd.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond): // 400 a second in all
+				}
+				c, err := net.Dial("tcp", w.addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer c.Close()
+				_, _ = io.WriteString(c, []string{"", "GET /api/1 HT", "GET /up HTTP/1.1\r\n\r\n"}[(n+i)%3])
+			}
+		})
+	}
+	text := "GET /api/39 HTTP/1.1\r\nRequest-Id: slow\r\nRequest-Class: stock\r\nX-Plan: boutique\r\n\r\n"
+	c, err := net.Dial("tcp", w.addr)
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	for len(text) > 0 {
+		n := min(3, len(text))
+		_, err := io.WriteString(c, text[:n])
+		require.NoError(t, err)
+		text = text[n:]
+		time.Sleep(60 * time.Millisecond) // the client's own pace, 2 s in all
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, resp.StatusCode)
+	close(stop)
+	crowd.Wait()
+}
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -28,7 +28,8 @@
 	log       *slog.Logger
 	listeners []*listener
 	conns     map[*Conn]struct{}
-	fresh     list // connections not served yet, the oldest first
+	fresh     list // connections that have shown nothing yet, the oldest first
+	begun     list // those of which part of a request has come, longest without more of it first
 	idle      list // connections between requests, longest idle first
 	leaving   list // those whose answer is all that is left, the oldest first
 	paused    bool // listeners are not watched: no descriptors
@@ -107,7 +108,7 @@
 			return
 		}
 		c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes), since: s.loop.Now(),
-			opened: s.loop.Now()}
+			opened: s.loop.Now(), moved: s.loop.Now()}
 		if err := s.enter(c, fd); err != nil {
 			s.log.Warn("accept failed", "error", err)
 			return
@@ -126,31 +127,42 @@
 	return nil
 }
 
-// makeRoom closes the connection that is worth least: one that is ending, one that has shown no request for
-// some time since it connected, or else the one that has stood idle longest. A server may do that between
-// requests. The usual clients' come last, since each that is closed is a new one soon: as long as most places
-// are held by who has shown nothing yet, it is they who must go, and the next wait until they may.
+// makeRoom closes the connection that is worth least: one that is ending, or else the one that has been silent
+// longest. So who writes slowly is kept as long as it writes. One that has shown nothing yet counts as silent for
+// longer than it was; one that had an answer goes only while most places are held by such as had one: the usual
+// clients' are new ones soon, and the next wait until there is room. A server may close any of these.
 func (s *Server) makeRoom() bool {
 	now := s.loop.Now()
-	if c := s.leaving.first; c != nil {
+	c, longest := s.leaving.first, time.Duration(0)
+	if c != nil {
 		c.drop()
 		return true
 	}
-	if c := s.fresh.first; c != nil && now-c.since > s.lim.FreshTime {
-		c.finish()
-		c.drop()
-		return true
-	}
-	for c := s.idle.first; c != nil && s.fresh.n <= s.lim.Downstream/2; c = c.next {
-		if !c.parser.Begun() {
-			c.finish()
-			c.drop()
-			return true
+	look := func(l *list, weight time.Duration) {
+		if f := l.first; f != nil && now-f.moved > s.lim.FreshTime && weight*(now-f.moved) > longest {
+			c, longest = f, weight*(now-f.moved)
 		}
 	}
-	return false
+	look(&s.fresh, shownNothing)
+	look(&s.begun, 1)
+	if s.fresh.n+s.begun.n <= s.lim.Downstream/2 {
+		look(&s.idle, hadAnswer)
+	}
+	if c == nil {
+		return false
+	}
+	c.finish()
+	c.drop()
+	return true
 }
 
+// How many times its silence counts of a connection that has never shown a byte, and of one that owes us nothing;
+// of one that is writing a request it counts once.
+const (
+	shownNothing = 4
+	hadAnswer    = 2
+)
+
 // pause leaves new connections in the kernel's queue until one of the present ones closes.
 func (s *Server) pause(why string) {
 	if s.paused {
@@ -253,16 +265,17 @@
 	out        []byte        // not written yet
 	since      time.Duration // idle, or ending; of a request that has begun, its first byte
 	opened     time.Duration
-	served     bool      // it has had an answer that is no complaint
-	dropped    int       // bytes read after the end
-	unread     bool      // of a request that was answered before it had come
-	busy       bool      // a request awaits its answer
-	head       bool      // its method is HEAD
-	old        bool      // it is of HTTP/1.0
-	up         *upload   // of the present request's body, nil if it is whole
-	down       *download // of the present answer's, nil if it was given whole
-	last       bool      // close after the present answer
-	lingering  bool      // our side has ended; what still comes is read and dropped
+	moved      time.Duration // bytes last came
+	served     bool          // it has had an answer that is no complaint
+	dropped    int           // bytes read after the end
+	unread     bool          // of a request that was answered before it had come
+	busy       bool          // a request awaits its answer
+	head       bool          // its method is HEAD
+	old        bool          // it is of HTTP/1.0
+	up         *upload       // of the present request's body, nil if it is whole
+	down       *download     // of the present answer's, nil if it was given whole
+	last       bool          // close after the present answer
+	lingering  bool          // our side has ended; what still comes is read and dropped
 	parsing    bool
 	prev, next *Conn // in the list that it is in
 	in         *list
@@ -273,15 +286,19 @@
 
 func (c *Conn) setIdle() {
 	c.since = c.s.loop.Now()
+	c.moved = c.since
 	c.parser.Rest()
 	c.list()
 }
 
 // list enters a connection on which nothing is owed among those that may have to make room.
 func (c *Conn) list() {
-	if c.served {
+	switch {
+	case c.parser.Begun():
+		c.s.begun.push(c)
+	case c.served:
 		c.s.idle.push(c)
-	} else {
+	default:
 		c.s.fresh.push(c)
 	}
 }
@@ -319,8 +336,9 @@
 			c.gone()
 			return
 		}
+		c.moved = c.s.loop.Now()
 		if !c.busy && !c.parser.Begun() {
-			c.since = c.s.loop.Now()
+			c.since = c.moved
 		}
 		c.parser.Feed(buf[:n])
 		if n < len(buf) || c.up != nil || c.parser.Buffered() > c.most() {
@@ -366,6 +384,9 @@
 		}
 		c.ln.front.Request(c, req)
 	}
+	if !c.busy && !c.lingering && c.src.FD() >= 0 && c.parser.Begun() {
+		c.s.begun.push(c)
+	}
 	c.want()
 }
 
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -124,7 +124,8 @@
 		loop.CloseFD(fd)
 		return err
 	}
-	c := &Conn{s: s, ln: s.listeners[i], parser: p, out: st.Out, since: st.Since, opened: st.Opened, served: st.Served}
+	c := &Conn{s: s, ln: s.listeners[i], parser: p, out: st.Out, since: st.Since, opened: st.Opened, moved: s.loop.Now(),
+		served: st.Served}
 	if err := s.enter(c, fd); err != nil {
 		return err
 	}
