--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -76,7 +76,7 @@
 const reserve = 56
 
 // downstreamPart of all descriptors, in percent, are for clients at the most.
-const downstreamPart = 30
+const downstreamPart = 29
 
 // Bodies that are passed on hold a part of the memory at the most.
 const (
