Hand on a long body open however it was cut, also when it came in one piece

Cause: Next returned a body over the bound whole if its last byte had come with the rest (http1.Next), so that the second front answered 400 or 413 by the cut.

--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -116,7 +116,8 @@
 	body    []byte
 	passed  int // bytes of a body that is open which have been pulled
 	open    bool
-	trail   int // bytes of trailers
+	ended   bool // all of an open body has been read already
+	trail   int  // bytes of trailers
 }
 
 type chunkState int
@@ -226,7 +227,7 @@
 // frame reads from the fields how the body ends. Two ways at once, or two lengths, are refused:
 // whoever else reads the message may choose the other.
 func (r *reader) frame(h Headers, closes bool) error {
-	r.inBody, r.body, r.left, r.chunk, r.trail, r.passed, r.open = true, r.body[:0], 0, chunkSize, 0, 0, false
+	r.inBody, r.body, r.left, r.chunk, r.trail, r.passed, r.open, r.ended = true, r.body[:0], 0, chunkSize, 0, 0, false, false
 	r.framing = sized
 	length, coded := "", false
 	for i := range h {
@@ -360,7 +361,9 @@
 func (r *reader) Pull() (b []byte, whole bool, err error) {
 	r.passed += len(r.body)
 	r.body = r.body[:0]
-	whole, err = r.more()
+	if whole = r.ended; !whole {
+		whole, err = r.more()
+	}
 	if whole {
 		r.inBody, r.open = false, false
 	}
@@ -407,10 +410,10 @@
 	}
 	req := p.req
 	p.req, req.Body, req.Length = nil, p.body, p.length()
-	if whole {
-		p.inBody, p.continues = false, false
+	if p.long() { // also if it came in one piece: what is long does not depend on how it was cut
+		p.open, p.ended, req.Open = true, whole, true
 	} else {
-		p.open, req.Open = true, true
+		p.inBody, p.continues = false, false
 	}
 	return req, nil
 }
--- a/internal/net/http1/open_test.go
+++ b/internal/net/http1/open_test.go
@@ -39,7 +39,9 @@
 				}
 				break
 			}
-			if body = append([]byte(nil), r.Body...); !r.Open {
+			if body = append([]byte(nil), r.Body...); len(body) > 4 && !r.Open {
+				return out, fmt.Errorf("held whole though it is %d long", len(body))
+			} else if !r.Open {
 				done()
 			} else if r.Length >= 0 && r.Length <= 4 {
 				return out, fmt.Errorf("open though it is only %d long", r.Length)
