Hand over to a process that the platform starts beside this one, met at a socket in TMPDIR

The existing machines hand over; Old.Beside says that the old one's end is not the new one's, and the model test tries every order of events for it, too. Whatever fails, the new process executes its own image anew and both listen at the address, in 6 s.

Process tests: 20 replacements at 200 requests a second, one answer each, none twice at a host; stale, silent, folder, link, file and nothing in the socket's place; successors killed at any instant; SIGTERM and SIGHUP at any instant; no folder.

--- /dev/null
+++ b/cmd/ferryfront/replace_test.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// process is one that the platform has started.
+type process struct {
+	cmd  *exec.Cmd
+	door string
+	done chan struct{}
+}
+
+// replaceable gives a world's daemon a folder in which it meets its successor.
+func (w *world) replaceable() *world {
+	w.env = append(w.env, "TMPDIR="+w.t.TempDir())
+	return w.withDoor()
+}
+
+// beside starts the program once more, as the platform does: same addresses, another door, same folder.
+func (w *world) beside() *process {
+	w.t.Helper()
+	p := &process{cmd: exec.Command(binary, "serve"), door: free(w.t), done: make(chan struct{})}
+	p.cmd.Env, p.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_MGMT=" + p.door}, w.env...), &w.log
+	require.NoError(w.t, p.cmd.Start())
+	go func() { _ = p.cmd.Wait(); close(p.done) }()
+	w.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	})
+	return p
+}
+
+// ready tells whether it says so at its door.
+func (p *process) ready() bool {
+	c, err := net.DialTimeout("tcp", p.door, time.Second)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_, _ = io.WriteString(c, "STATUS\n")
+	answer, _ := io.ReadAll(c)
+	return strings.HasPrefix(string(answer), "200")
+}
+
+// first is the process that the world has started.
+func (w *world) first() *process {
+	p := &process{cmd: w.cmd, door: w.door, done: make(chan struct{})}
+	go func() { _ = p.cmd.Wait(); close(p.done) }()
+	return p
+}
+
+// ends waits until a process has ended by itself, before the platform would kill it.
+func (w *world) gone(p *process) {
+	w.t.Helper()
+	select {
+	case <-p.done:
+		require.Zero(w.t, p.cmd.ProcessState.ExitCode())
+	case <-time.After(3700 * time.Millisecond):
+		require.Fail(w.t, "the old process goes on")
+	}
+}
+
+// load sends requests until it is stopped, and returns how many were answered otherwise than once and well.
+func (w *world) load(rate int) (stop func() (asked int, faults []string)) {
+	var all sync.WaitGroup
+	var asked atomic.Int32
+	var mu sync.Mutex
+	var faults []string
+	end := make(chan struct{})
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+	all.Go(func() {
+		tick := time.NewTicker(time.Second / time.Duration(rate))
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				return
+			case <-tick.C:
+			}
+			class, method := "stock", "GET"
+			if i%4 == 0 {
+				class, method = "order", "POST"
+			}
+			path := fmt.Sprintf("/api/%x?n=%d", 1000+i%50, i)
+			var body io.Reader
+			if method == "POST" {
+				body = strings.NewReader("{}")
+			}
+			r := w.request(method, path, class, body, "Request-Id", fmt.Sprint("l", i), "Idempotency-Key", fmt.Sprint("lk", i))
+			asked.Add(1)
+			all.Go(func() {
+				resp, err := client.Do(r)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+					resp.Body.Close()
+				}
+				if err != nil || resp.StatusCode != 200 {
+					mu.Lock()
+					defer mu.Unlock()
+					status := 0
+					if resp != nil {
+						status = resp.StatusCode
+					}
+					faults = append(faults, fmt.Sprint(r.Header.Get("Request-Id"), " ", status, " ", err))
+				}
+			})
+		}
+	})
+	return func() (int, []string) {
+		close(end)
+		all.Wait()
+		client.CloseIdleConnections()
+		return int(asked.Load()), faults
+	}
+}
+
+// Twenty replacements at 200 requests a second: every request has its one answer, none reaches a host twice, no
+// connection is reset, the quota's state goes over, and each process ends by itself or when it is told to.
+func TestReplacementsUnderLoad(t *testing.T) {
+	w := newWorld(t).replaceable()
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		time.Sleep(5 * time.Millisecond) // an order server's work
+		w.echo(rw, r)
+	}
+	w.hosts["h2"] = w.hosts["h1"]
+	w.start()
+	stop := w.load(200)
+	old := w.first()
+	for i := range 20 {
+		began := time.Now()
+		next := w.beside()
+		w.until(next.ready)
+		require.Less(t, time.Since(began), 6*time.Second)
+		if i%2 == 0 {
+			require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+		}
+		w.gone(old)
+		old = next
+		w.door = next.door
+	}
+	asked, faults := stop()
+	require.Empty(t, faults)
+	require.Equal(t, 20, strings.Count(w.log.String(), `msg="taken over"`), "each handed over")
+	require.Len(t, w.noted(), asked)
+	seen := map[string]bool{}
+	for _, got := range w.noted() {
+		require.False(t, seen[got], "twice at a host: %s", got)
+		seen[got] = true
+	}
+	now := w.figures()
+	require.Less(t, now["app_backend_calls"], asked, "its figures are its own")
+}
+
+// Whatever lies where the old process should be met, the new one begins beside it in time, and no request is lost.
+func TestWhatLiesInTheSocketsPlace(t *testing.T) {
+	for name, lay := range map[string]func(t *testing.T, path string){
+		"stale": func(t *testing.T, path string) {
+			fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET, 0)
+			require.NoError(t, err)
+			require.NoError(t, unix.Bind(fd, &unix.SockaddrUnix{Name: path}))
+			require.NoError(t, unix.Close(fd))
+		},
+		"silent": func(t *testing.T, path string) {
+			fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET, 0)
+			require.NoError(t, err)
+			require.NoError(t, unix.Bind(fd, &unix.SockaddrUnix{Name: path}))
+			require.NoError(t, unix.Listen(fd, 4))
+			t.Cleanup(func() { _ = unix.Close(fd) })
+		},
+		"folder":  func(t *testing.T, path string) { require.NoError(t, os.Mkdir(path, 0o700)) },
+		"link":    func(t *testing.T, path string) { require.NoError(t, os.Symlink("/dev/null", path)) },
+		"file":    func(t *testing.T, path string) { require.NoError(t, os.WriteFile(path, []byte("x"), 0o600)) },
+		"nothing": func(*testing.T, string) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t).replaceable().start()
+			path := filepath.Join(strings.TrimPrefix(w.env[0], "TMPDIR="), ".ferryfront-n0")
+			require.NoError(t, os.Remove(path))
+			lay(t, path)
+			old := w.first()
+			stop := w.load(100)
+			began := time.Now()
+			next := w.beside()
+			w.until(next.ready)
+			require.Less(t, time.Since(began), 6*time.Second)
+			require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+			w.gone(old)
+			_, faults := stop()
+			require.Empty(t, faults)
+			require.NotContains(t, w.log.String(), "taken over\"")
+		})
+	}
+}
+
+// A successor that is killed, before it is ready or after, costs the old one nothing; the old one hands over to the next.
+func TestASuccessorThatDies(t *testing.T) {
+	w := newWorld(t).replaceable().start()
+	old := w.first()
+	for i := range 12 {
+		dead := w.beside()
+		if i%3 == 0 {
+			w.until(dead.ready)
+		} else {
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond) // at one instant or another of its start
+		}
+		require.NoError(t, dead.cmd.Process.Kill())
+		<-dead.done
+		w.until(func() bool {
+			got, err := w.do(w.request("GET", "/api/41", "stock", nil, "Request-Id", fmt.Sprint("d", i)))
+			return err == nil && got.status == 200
+		})
+		w.until(old.ready)
+	}
+	next := w.beside()
+	w.until(next.ready)
+	w.gone(old)
+	require.Equal(t, 200, w.get(w.request("GET", "/api/41", "stock", nil)).status)
+}
+
+// SIGTERM to the old process at any instant of a replacement, and SIGHUP: the new one serves, by itself if need be.
+func TestSignalsDuringAReplacement(t *testing.T) {
+	for i := range 10 {
+		w := newWorld(t).replaceable().start()
+		old := w.first()
+		stop := w.load(50)
+		next := w.beside()
+		time.Sleep(time.Duration(i) * 4 * time.Millisecond) // at one instant or another of its start
+		require.NoError(t, old.cmd.Process.Signal(syscall.SIGHUP))
+		require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+		w.until(next.ready)
+		w.gone(old)
+		_, faults := stop()
+		require.Empty(t, faults)
+		require.Equal(t, 200, w.get(w.request("GET", "/api/42", "stock", nil)).status)
+	}
+}
+
+// Without a folder that can be written to, the two listen beside each other.
+func TestAReplacementWithoutAFolder(t *testing.T) {
+	for _, dir := range []string{"", "/proc", "/no/such/folder"} {
+		w := newWorld(t).withDoor()
+		w.env = []string{"TMPDIR=" + dir}
+		w.start()
+		old := w.first()
+		next := w.beside()
+		w.until(next.ready)
+		require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+		w.gone(old)
+		require.Equal(t, 200, w.get(w.request("GET", "/api/43", "stock", nil)).status)
+	}
+}
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -73,6 +73,7 @@
 	change  func(config, settings map[string]any)
 	unknown bool // the configuration knows no hosts: they are only told by discovery
 
+	env  []string          // more environment
 	at   map[string]string // addresses of hosts that a test serves itself
 	addr string
 	door string // of operators, empty: none
@@ -206,7 +207,7 @@
 	w.path, w.told = filepath.Join(w.t.TempDir(), "config.json"), config
 	w.configure()
 	w.cmd = exec.Command(binary, append([]string{"serve"}, w.args...)...)
-	w.cmd.Env, w.cmd.Stderr = []string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, &w.log
+	w.cmd.Env, w.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, w.env...), &w.log
 	// A successor is of the same group, and outlives the process that the test knows.
 	w.cmd.SysProcAttr, w.cmd.WaitDelay = &syscall.SysProcAttr{Setpgid: true}, time.Second
 	require.NoError(w.t, w.cmd.Start())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,12 @@
 	if err != nil {
 		return err
 	}
+	if fd < 0 {
+		if fd, err = d.predecessor(); err != nil {
+			return err
+		}
+		d.beside = fd >= 0
+	}
 	if fd >= 0 {
 		err = d.succeed(fd)
 	} else {
@@ -108,6 +114,8 @@
 	control   *control
 	door      *mgmt.Door // nil where operators have none
 	figures   figures.Figures
+	awaits    *loop.Source // where a successor is awaited, nil: nowhere
+	beside    bool         // somebody else has started us as a successor
 	draining  bool
 	drained   bool // no new connections either
 	fault     error
@@ -145,6 +153,7 @@
 	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		return err
 	}
+	d.await()
 	d.log.Info("serving", "version", d.o.Version, "listen", d.cfg.Listen)
 	d.o.Notify("READY=1")
 	return nil
@@ -279,6 +288,7 @@
 
 func (d *Daemon) endAsked() {
 	if d.trial() {
+		d.succ.told = true
 		d.succ.handle(phase.EndAsked{})
 		return
 	}
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -9,7 +9,7 @@
 
 // openDoor opens the operators' door where the configuration has one.
 func (d *Daemon) openDoor() (err error) {
-	if d.cfg.Mgmt == "" {
+	if d.cfg.Mgmt == "" || d.door != nil {
 		return nil
 	}
 	if d.door, err = mgmt.Open(d.loop, d.cfg.Limits, d.log, d.cfg.Mgmt, office{d}); err != nil {
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -68,6 +68,7 @@
 	}
 	p := d.pred
 	p.tell, p.report = tell, Progress{}
+	p.machine.Beside = false
 	d.log.Info("upgrade begun", "binary", d.o.Command[0])
 	p.handle(phase.Asked{})
 	return ""
@@ -105,7 +106,9 @@
 	lim := d.cfg.Limits
 	switch a {
 	case phase.Spawn:
-		p.spawn()
+		if !p.machine.Beside { // else it has come by itself
+			p.spawn()
+		}
 	case phase.StartClock:
 		most := map[phase.OldState]time.Duration{phase.Starting: lim.HelloMost, phase.Preparing: lim.PrepareMost,
 			phase.Copying: lim.CopyMost, phase.Frozen: lim.FreezeMost, phase.Probation: lim.Probation}[p.machine.State]
@@ -135,6 +138,11 @@
 		if p.peer != nil && p.peer.cmd != nil {
 			_ = p.peer.cmd.Process.Kill() // it may have ended already
 		}
+		if r := p.peer; r != nil && p.machine.Beside { // it begins by itself once it has heard, or sees the end
+			p.peer = nil
+			r.conn.WhenDry(r.conn.Close)
+			d.loop.After(lim.DrainFlush, r.conn.Close)
+		}
 	case phase.Reclaim:
 		p.reclaim()
 	case phase.SendSettled:
@@ -145,6 +153,9 @@
 		p.send(&pb.Envelope{Body: &pb.Envelope_Reload{Reload: &pb.Reload{}}})
 	case phase.Drain:
 		d.drain()
+	case phase.EndOwn:
+		d.log.Info("ending what is left", "streams", d.core.Open(), "connections", d.server.Connections())
+		d.release()
 	case phase.SayFarewell:
 		p.farewell()
 	case phase.ReportDone:
@@ -248,6 +259,9 @@
 	if r.cmd != nil && (errors.Is(err, io.EOF) || !r.p.machine.Committed()) {
 		_ = r.cmd.Process.Kill()
 	}
+	if r.p.machine.Beside && errors.Is(err, io.EOF) { // it has ended, or begins by itself
+		r.gone("it has closed its end")
+	}
 }
 
 // Message takes one of the new process's.
@@ -360,6 +374,11 @@
 // commit: the new process serves. Our connections follow, each when nothing is owed on it.
 func (p *predecessor) commit() {
 	d := p.d
+	d.dismiss()
+	if !p.machine.Beside { // else it has a door of its own, and ours still tells of this process
+		d.door.Close()
+		d.door = nil
+	}
 	d.module.Retire()
 	d.core.Settle()
 	p.send(&pb.Envelope{Body: &pb.Envelope_Commit{Commit: &pb.Commit{Clients: uint32(d.server.Connections()),
@@ -393,7 +412,8 @@
 	}
 	d.server.Release()
 	shareMemory(d.cfg.Limits, 1)
-	if err := d.openControl(); err != nil {
+	d.await()
+	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
 	d.o.Notify("MAINPID=" + strconv.Itoa(os.Getpid()))
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -29,6 +29,7 @@
 	listeners []int // that came with it
 	commit    *pb.Commit
 	customers uint64
+	told      bool // we were told to end
 }
 
 // greetMost bounds the time until Welcome: limits are known only once the configuration has been read.
@@ -47,6 +48,9 @@
 	}
 	s.conn, d.succ = conn, s
 	s.timer = d.loop.After(greetMost, func() { s.handle(phase.TimeUp{}) })
+	if d.beside {
+		d.loop.After(besideMost, s.late)
+	}
 	s.send(&pb.Envelope{Body: &pb.Envelope_Hello{Hello: &pb.Hello{Protocol: phase.Protocol, Version: d.o.Version,
 		Pid: int64(os.Getpid())}}})
 	return nil
@@ -54,6 +58,18 @@
 
 const greetBytes = 64 << 20
 
+// late ends waiting for a predecessor that somebody else runs. It is not waited for even where only its word could
+// tell whether we serve: should we, after all, it sees our end of the connection closed and serves on.
+func (s *successor) late() {
+	if s.machine.Serves() || s.machine.State == phase.Ended {
+		return
+	}
+	s.handle(phase.TimeUp{})
+	if s.machine.State == phase.Holding {
+		s.d.startOver("the old process has said nothing while holding")
+	}
+}
+
 func (s *successor) send(e *pb.Envelope) { s.conn.Send(e) }
 
 func (s *successor) handle(ev phase.Event) {
@@ -92,6 +108,14 @@
 	case phase.ReloadOwn:
 		d.reconfigure()
 	case phase.Exit:
+		if d.beside && s.told {
+			d.loop.Stop()
+			return
+		}
+		if d.beside {
+			d.startOver(s.machine.Failure)
+			return
+		}
 		d.fail("upgrade not taken over: %s", s.machine.Failure)
 	case phase.StopClock:
 		s.timer.Stop()
@@ -193,6 +217,12 @@
 		return
 	}
 	shareMemory(d.cfg.Limits, 2)
+	if d.beside { // its door is its own, and tells that it is not ready yet
+		if err := d.openDoor(); err != nil {
+			s.handle(phase.Unfit{Why: err.Error()})
+			return
+		}
+	}
 	if name := s.welcome.GetName(); name != d.cfg.Name {
 		s.handle(phase.Unfit{Why: fmt.Sprintf("the configuration is %s's, the running process is %s", d.cfg.Name, name)})
 		return
@@ -206,7 +236,7 @@
 		if slices.Contains(s.welcome.GetListeners(), f.addr) {
 			continue
 		}
-		fd, err := loop.Listen(f.addr)
+		fd, err := loop.ListenBeside(f.addr)
 		if err != nil {
 			s.handle(phase.Unfit{Why: err.Error()})
 			return
@@ -273,9 +303,10 @@
 	for _, f := range d.fronts {
 		f.ready()
 	}
-	if err := d.openControl(); err != nil {
+	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
+	d.await()
 	d.log.Info("taken over", "version", d.o.Version, "from", s.welcome.GetVersion(), "listen", d.cfg.Listen,
 		"customers", s.customers, "streams", d.core.Theirs(), "clock", d.loop.Offset())
 	d.o.Notify("READY=1", "MAINPID="+strconv.Itoa(os.Getpid()))
--- a/internal/handover/phase/old.go
+++ b/internal/handover/phase/old.go
@@ -25,6 +25,7 @@
 type Old struct {
 	State   OldState
 	Failure string // why the last upgrade failed
+	Beside  bool   // somebody else has started the new process: our end is not its end, nor is it ours to start or kill
 
 	empty  bool // nothing of ours is open
 	ending bool // the ingress is to end: nobody's place is taken back
@@ -176,11 +177,27 @@
 		return append(m.fail("the ingress was told to end"), Drain)
 	case m.ending:
 		return nil
+	case m.Beside:
+		return m.release()
 	}
 	m.ending = true
 	return []Action{SendTerminate}
 }
 
+// release ends what this process still has. The new one goes on, and has stood its probation.
+func (m *Old) release() []Action {
+	m.ending = true
+	actions := []Action{EndOwn}
+	if m.State == Probation {
+		m.State = Emptying
+		actions = append(actions, StopClock, SendSettled, ReportDone)
+	}
+	if m.empty {
+		actions = append(actions, m.over()...)
+	}
+	return actions
+}
+
 func (m *Old) over() []Action {
 	m.State = Over
 	return []Action{SayFarewell}
--- a/internal/handover/phase/phase.go
+++ b/internal/handover/phase/phase.go
@@ -121,6 +121,7 @@
 	SendTerminate               // pass the end on
 	SendReload                  // pass the reload on
 	Drain                       // end as on SIGTERM
+	EndOwn                      // end what is ours, in the time of a planned end: the new process goes on
 	SayFarewell                 // all is over: tell and exit
 	ReportDone                  // tell who asked: the upgrade has succeeded
 	ReportFailed                // tell who asked: it has not, with Failure
@@ -145,7 +146,7 @@
 )
 
 var actionNames = [actions]string{"spawn", "send welcome", "copy ahead", "freeze", "send snapshot", "send commit", "unfreeze",
-	"send abort", "kill", "reclaim", "send settled", "send terminate", "send reload", "drain", "say farewell", "report done",
+	"send abort", "kill", "reclaim", "send settled", "send terminate", "send reload", "drain", "end own", "say farewell", "report done",
 	"report failed", "prepare", "send prepared", "restore", "send restored", "serve", "send serving", "send refused",
 	"send leaving", "forget", "reload", "exit", "start clock", "stop clock"}
 
--- a/internal/handover/phase/phase_test.go
+++ b/internal/handover/phase/phase_test.go
@@ -137,7 +137,12 @@
 
 // Every order in which messages, time-outs, deaths and signals may come is tried, over two upgrades in a row.
 func TestEveryOrderOfEvents(t *testing.T) {
-	first := pair{oldAlive: true, oldReads: true, listens: true}
+	t.Run("upgrade", func(t *testing.T) { everyOrder(t, false) })
+	t.Run("started by somebody else", func(t *testing.T) { everyOrder(t, true) })
+}
+
+func everyOrder(t *testing.T, beside bool) {
+	first := pair{oldAlive: true, oldReads: true, listens: true, old: Old{Beside: beside}}
 	seen := map[string]bool{}
 	work := []pair{first}
 	states := map[string]bool{}
@@ -171,6 +176,19 @@
 	t.Logf("%d situations", len(seen))
 }
 
+// The old process is told to end once the new one serves, by who has started that: the new one goes on, whether or
+// not the old one still has something, and it is not taken for dead by its own end.
+func TestTheEndOfAnOldProcessIsNotTheNewOnes(t *testing.T) {
+	m := Old{State: Probation, Beside: true}
+	require.Equal(t, []Action{EndOwn, StopClock, SendSettled, ReportDone}, m.Handle(EndAsked{}))
+	require.Equal(t, Emptying, m.State)
+	require.Equal(t, []Action{SayFarewell}, m.Handle(Emptied{}))
+	m = Old{State: Emptying, Beside: true}
+	require.Equal(t, []Action{EndOwn}, m.Handle(EndAsked{}))
+	require.Empty(t, m.Handle(EndAsked{}))
+	require.NotContains(t, m.Handle(PeerGone{"killed"}), Reclaim, "both were told to end, or killed")
+}
+
 // The death of the old process after all is in place must not leave the listeners to nobody.
 func TestWhoHoldsAllTakesOverFromTheDead(t *testing.T) {
 	m := New{State: Holding}
