Give up hosts that take nothing of a body; count a long answer when its client has it or has not

Cause: an upload whose host took nothing had no end of its own (upstream.silent looked at answers only), and core.end counted a long answer as served when it began, also if it broke off later.

Change: silent looks at requests' bodies, too; core.End.Relayed is told by the connection whether all was written.

--- a/cmd/ferryfront/replace_test.go
+++ b/cmd/ferryfront/replace_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -266,3 +267,49 @@
 		require.Equal(t, 200, w.get(w.request("GET", "/api/43", "stock", nil)).status)
 	}
 }
+
+// A replacement while hundreds of connections stand idle or half-way through a request: all of them go over as they
+// are, none is closed, and the descriptors of both together stay within what one may hold.
+func TestAReplacementInACrowd(t *testing.T) {
+	const sockets = 384
+	w := newWorld(t).replaceable()
+	change := w.change
+	w.change = func(config, settings map[string]any) {
+		change(config, settings)
+		config["limits"].(obj)["sockets"] = sockets
+	}
+	w.start()
+	old := w.first()
+	head := "GET /api/44 HTTP/1.1\r\nRequest-Class: stock\r\nX-Plan: boutique\r\nRequest-Id: "
+	var idle, half []net.Conn
+	for i := range 40 {
+		c := w.raw("GET /up HTTP/1.1\r\n\r\n")
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		idle = append(idle, c)
+		half = append(half, w.raw(head+fmt.Sprint("c", i)))
+	}
+	next := w.beside()
+	w.until(next.ready)
+	held := descriptors(t, old) + descriptors(t, next)
+	require.LessOrEqual(t, held, sockets)
+	for i := range idle {
+		for c, text := range map[net.Conn]string{idle[i]: head + fmt.Sprint("d", i) + "\r\n\r\n", half[i]: "\r\n\r\n"} {
+			_, err := io.WriteString(c, text)
+			require.NoError(t, err)
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			require.NoError(t, err)
+			require.Equal(t, 200, resp.StatusCode)
+		}
+	}
+	w.gone(old)
+}
+
+// descriptors is how many a process holds; none of one that has ended.
+func descriptors(t *testing.T, p *process) int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		require.ErrorIs(t, err, os.ErrNotExist)
+	}
+	return len(entries)
+}
--- a/cmd/ferryfront/settings_test.go
+++ b/cmd/ferryfront/settings_test.go
@@ -142,3 +142,44 @@
 	w.until(func() bool { return w.figures()["app_reconfig_ok"] > 10 })
 	require.Equal(t, 200, w.get(w.request("GET", "/api/24", "c9", nil)).status)
 }
+
+// A route whose class has gone is no route of the second front's as long as it is gone; the others go on.
+func TestARouteWhoseClassHasGone(t *testing.T) {
+	w, _, _ := shops(t, described, nil)
+	require.Equal(t, 200, w.get(w.shop("GET", "/stock?part=1", "")).status)
+	all := w.settings()["classes"].([]obj)
+	w.settings()["classes"] = all[1:] // without stock
+	w.configure()
+	w.signal(syscall.SIGHUP)
+	w.until(func() bool { return w.get(w.shop("GET", "/stock?part=1", "")).status == 404 })
+	require.Equal(t, 200, w.get(w.shop("GET", "/prices/1", "")).status)
+	w.settings()["classes"] = all
+	w.configure()
+	w.signal(syscall.SIGHUP)
+	w.until(func() bool { return w.get(w.shop("GET", "/stock?part=1", "")).status == 200 })
+}
+
+// A planned end does not stop new settings: what is still open may need the addresses, and the counts move.
+func TestAReloadDuringADrain(t *testing.T) {
+	w := newWorld(t).withDoor()
+	release := make(chan struct{})
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-w.over:
+		}
+		w.echo(rw, r)
+	}
+	w.start()
+	first := make(chan reply, 1)
+	r := w.request("GET", "/api/25", "stock", nil)
+	go func() { got, _ := w.do(r); first <- got }()
+	w.until(func() bool { return w.figures()["app_inflight"] == 1 })
+	w.signal(syscall.SIGTERM)
+	w.until(func() bool { return w.call("STATUS") == "400 not ready\n" })
+	w.settings()["classes"] = w.settings()["classes"].([]obj)[1:]
+	require.True(t, w.reload())
+	close(release)
+	require.Equal(t, 200, (<-first).status)
+	require.Zero(t, w.ends())
+}
--- a/cmd/ferryfront/sizes_test.go
+++ b/cmd/ferryfront/sizes_test.go
@@ -137,7 +137,7 @@
 
 // An answer that breaks off after it has begun is seen as broken off, whatever its framing and the client's.
 func TestAnAnswerThatBreaksOff(t *testing.T) {
-	w := newWorld(t)
+	w := newWorld(t).withDoor()
 	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery == "sized" {
 			rw.Header().Set("Content-Length", strconv.Itoa(mib))
@@ -157,6 +157,9 @@
 			require.Error(t, err, "%s to %s", how, proto)
 		}
 	}
+	now := w.figures()
+	require.Equal(t, 4, now[ended("stock", "failure")], "what the client could not have whole was not served")
+	require.Zero(t, now[ended("stock", "success")])
 }
 
 // Every form: in chunks with extensions and trailers and in any pieces, with the head alone first, to a client of
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -76,6 +76,9 @@
 	Answer     Answer
 	RetryAfter time.Duration
 	Sent       bool // an upstream request was made for it
+	// Relayed is set where the answer's body is still coming: it is to be told whether the client got all of it. It is
+	// not called for a client that leaves.
+	Relayed func(whole bool)
 }
 
 // Owner is the front's side of a stream. It is told the end once, unless the client left.
@@ -542,7 +545,11 @@
 		c.coming--
 	}
 	e.Sent = len(s.attempts) > 0
-	c.tally(s.class, e.Kind)
+	if class := s.class; e.Answer.Rest != nil {
+		e.Relayed = func(whole bool) { c.relayed(class, whole) }
+	} else {
+		c.tally(class, e.Kind)
+	}
 	owner := s.owner
 	s.owner = nil
 	if owner != nil {
--- a/internal/core/open.go
+++ b/internal/core/open.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// relayed counts the end of a request whose answer was passed on while it came.
+func (c *Core) relayed(class int, whole bool) {
+	if whole {
+		c.tally(class, Served)
+	} else {
+		c.tally(class, Failed)
+	}
+}
+
 // tally counts the end of a request. One that its client abandoned has none.
 func (c *Core) tally(class int, kind EndKind) {
 	f := c.figures.Class(class)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -122,13 +122,14 @@
 const OpenAlready = "a request with this Request-Id or Idempotency-Key is open"
 
 // Serve answers with what an upstream host answered.
-func Serve(c *downstream.Conn, a core.Answer) {
+func Serve(c *downstream.Conn, e core.End) {
+	a := e.Answer
 	var h http1.Headers
 	if a.ContentType != "" {
 		h = http1.Headers{{Name: "Content-Type", Value: a.ContentType}}
 	}
 	if rest := upstream.Rest(a); rest != nil {
-		c.Relay(200, h, a.Body, rest)
+		c.Relay(200, h, a.Body, rest, e.Relayed)
 		return
 	}
 	c.Reply(200, h, a.Body)
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -210,7 +210,7 @@
 func (o owner) End(e core.End) {
 	switch e.Kind {
 	case core.Served:
-		front.Serve(o.c, e.Answer)
+		front.Serve(o.c, e)
 	case core.Refused:
 		seconds := max(1, (e.RetryAfter+time.Second-1)/time.Second)
 		problem(o.c, front.RefusalStatus(e), http1.Headers{{Name: "Retry-After",
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -152,7 +152,7 @@
 func (o owner) End(e core.End) {
 	switch e.Kind {
 	case core.Served:
-		front.Serve(o.c, e.Answer)
+		front.Serve(o.c, e)
 	case core.Refused:
 		o.c.Reply(front.RefusalStatus(e), http1.Headers{{Name: "Retry-After", Value: retryAfter(e.RetryAfter)}}, nil)
 	case core.Expired:
--- a/internal/net/downstream/flow.go
+++ b/internal/net/downstream/flow.go
@@ -78,12 +78,13 @@
 type download struct {
 	pipe    *flow.Pipe
 	framing http1.Framing
+	done    func(whole bool)
 	moved   time.Duration // when the client last took some, or there was none to take
 }
 
 // Relay answers the present request with a body that is still coming. Should it break off, so does the connection:
-// the client can tell that it has not all of it.
-func (c *Conn) Relay(status int, h http1.Headers, begin []byte, rest *flow.Pipe) {
+// the client can tell that it has not all of it. done is told which it was, unless the client leaves.
+func (c *Conn) Relay(status int, h http1.Headers, begin []byte, rest *flow.Pipe, done func(whole bool)) {
 	if c.src.FD() < 0 || !c.busy {
 		rest.Drop()
 		return
@@ -92,7 +93,7 @@
 	h = c.traced(h)
 	c.served = true
 	c.last = c.last || c.s.draining || c.up != nil
-	d := &download{pipe: rest, moved: c.s.loop.Now()}
+	d := &download{pipe: rest, done: done, moved: c.s.loop.Now()}
 	switch {
 	case rest.Length >= 0:
 	case c.old:
@@ -142,16 +143,19 @@
 			return
 		}
 		c.busy = false
+		d.done(true)
 		c.answered()
 	}
 }
 
 // abort ends a connection whose answer can't be finished. One whose end would be taken for the answer's is reset.
 func (c *Conn) abort() {
-	if c.down != nil && c.down.framing == http1.ByClose {
+	if c.down.framing == http1.ByClose {
 		c.src.Reset()
 	}
+	done := c.down.done
 	c.drop()
+	done(false)
 }
 
 // dropUpload lets go of the rest of a request that has its answer. It is still read, and goes nowhere.
--- a/internal/net/upstream/flow.go
+++ b/internal/net/upstream/flow.go
@@ -23,7 +23,7 @@
 
 // attach begins to take a request's body as it comes.
 func (c *conn) attach(rest *flow.Pipe) {
-	c.body = rest
+	c.body, c.took = rest, c.p.loop.Now()
 	rest.OnData = func() {
 		if c.up && c.src.FD() >= 0 && len(c.out) == 0 {
 			c.flush()
@@ -154,4 +154,11 @@
 			c.fail(errSilent)
 		}
 	}
+	for _, c := range p.out {
+		if c.body == nil || len(c.out) == 0 { // whole, or its client is waited for, which has a time of its own
+			c.took = now
+		} else if c.up && now-c.took > p.lim.FlowSilence {
+			c.fail(errSilent)
+		}
+	}
 }
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -137,10 +137,11 @@
 	out     []byte // of the request, not written yet
 	since   time.Duration
 	dialing *loop.Timer
-	body    *flow.Pipe  // of the request, what is not in out yet; nil: nothing
-	early   *loop.Timer // for an answer of which nobody can tell how long it will be
-	relay   *relay      // of the answer, passed on while it comes; nil: it is not
-	closes  bool        // the connection ends with that
+	took    time.Duration // the host last took some of body
+	body    *flow.Pipe    // of the request, what is not in out yet; nil: nothing
+	early   *loop.Timer   // for an answer of which nobody can tell how long it will be
+	relay   *relay        // of the answer, passed on while it comes; nil: it is not
+	closes  bool          // the connection ends with that
 }
 
 // Start sends a request to a host.
@@ -296,7 +297,9 @@
 func (c *conn) flush() {
 	for {
 		n, err := loop.Write(c.src.FD(), c.out)
-		c.out = c.out[n:]
+		if c.out = c.out[n:]; n > 0 {
+			c.took = c.p.loop.Now()
+		}
 		if err != nil {
 			c.fail(err)
 			return
