--- a/cmd/ferryfront/replace_test.go
+++ b/cmd/ferryfront/replace_test.go
@@ -313,3 +313,54 @@
 	}
 	return len(entries)
 }
+
+// Two replacements at once: the third process finds the second not done with the first, and begins beside them. Each of
+// the others ends when it is told to, and no request is lost.
+func TestTwoReplacementsInARow(t *testing.T) {
+	w := newWorld(t).replaceable().start()
+	stop := w.load(100)
+	first := w.first()
+	second := w.beside()
+	w.until(second.ready)
+	third := w.beside()
+	w.until(third.ready)
+	for _, p := range []*process{first, second} {
+		require.NoError(t, p.cmd.Process.Signal(syscall.SIGTERM))
+		w.gone(p)
+	}
+	_, faults := stop()
+	require.Empty(t, faults)
+	require.True(t, third.ready())
+}
+
+// Who comes to the socket and is no successor, by silence or by what it says, costs the process nothing; the next one
+// that is takes over.
+func TestWhoComesAndIsNoSuccessor(t *testing.T) {
+	w := newWorld(t).replaceable().start()
+	old := w.first()
+	path := filepath.Join(strings.TrimPrefix(w.env[0], "TMPDIR="), ".ferryfront-n0")
+	come := func() int {
+		fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_SEQPACKET, 0)
+		require.NoError(t, err)
+		require.NoError(t, unix.Connect(fd, &unix.SockaddrUnix{Name: path}))
+		return fd
+	}
+	for _, text := range []string{"garbage", "\x00", "\x00\x0a\x02\x08\x63", strings.Repeat("x", 30000)} {
+		fd := come()
+		require.NoError(t, unix.Sendto(fd, []byte(text), 0, nil))
+		w.until(func() bool { // it is turned away
+			n, err := unix.Read(fd, make([]byte, 100))
+			return n == 0 || err != nil
+		})
+		require.NoError(t, unix.Close(fd))
+		require.True(t, old.ready())
+	}
+	silent := come()
+	require.Equal(t, 200, w.get(w.request("GET", "/api/45", "stock", nil)).status)
+	require.NoError(t, unix.Close(silent))
+	w.until(func() bool { return strings.Count(w.log.String(), "this process carries on") >= 5 })
+	next := w.beside()
+	w.until(next.ready)
+	require.Contains(t, w.log.String(), "taken over")
+	w.gone(old)
+}
