--- a/cmd/ferryfront/sizes_test.go
+++ b/cmd/ferryfront/sizes_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -117,6 +118,60 @@
 	require.Greater(t, each*streams, limit*mib)
 }
 
+// Many long requests at once, whose host reads nothing yet: what is held of them stays
+// within the memory, however many they are.
+func TestManyLongBodiesAtOnce(t *testing.T) {
+	const each, streams, limit = 8 * mib, 60, 64 // more than the kernel takes ahead
+	w := newWorld(t)
+	w.change = func(config, settings map[string]any) {
+		config["limits"] = obj{"cores": 1, "memory_mb": limit, "sockets": 1024}
+		for _, c := range settings["classes"].([]obj) {
+			c["deadline"], c["onTime"] = 20000, 20000
+		}
+	}
+	gate := make(chan struct{})
+	var under atomic.Int32
+	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		under.Add(1)
+		select {
+		case <-gate:
+		case <-w.over:
+		}
+		fmt.Fprint(rw, sum(r.Body))
+	}
+	w.start()
+	var all sync.WaitGroup
+	for i := range int64(streams) {
+		var tries []*http.Request // one that is refused comes again, as a client's would
+		for n := range 50 {
+			r := w.request("POST", fmt.Sprintf("/api/%x", 5000+i), "order", long(i, each), "Request-Id", fmt.Sprint("m", i, ".", n),
+				"Idempotency-Key", fmt.Sprint("k", i), "Request-Timeout", "19000m")
+			r.ContentLength = each
+			tries = append(tries, r)
+		}
+		all.Go(func() {
+			for _, r := range tries {
+				got, err := w.do(r)
+				if err == nil && (got.status == 429 || got.status == 503) {
+					time.Sleep(100 * time.Millisecond)
+					continue
+				}
+				if err != nil || got.body != sum(long(i, each)) {
+					t.Errorf("%d: %d %v %.80q", i, got.status, err, got.body)
+				}
+				return
+			}
+			t.Errorf("%d: refused again and again", i)
+		})
+	}
+	w.until(func() bool { return under.Load() == streams })
+	close(gate)
+	all.Wait()
+	held := resident(t, w.cmd.Process.Pid)
+	t.Logf("%d MB resident at the most", held/mib)
+	require.Less(t, held, int64(limit*mib*5/8))
+}
+
 // A client that sends slowly but within its rate is served; its time runs from the last byte.
 func TestATimeRunsFromTheLastByte(t *testing.T) {
 	w := newWorld(t).start()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -16,7 +16,7 @@
 	HeadBytes  int // of a message's start line and headers
 	BodyBytes  int // of a message's body
 	KeepBytes  int // of a body that is kept whole, since a try again needs it; a longer one is passed on as it comes
-	FlowBytes  int // of a body passed on, held between its two connections; all of them are a part of the memory
+	FlowBytes  int // of all bodies passed on in one direction, held between their connections; see Window
 
 	DownstreamIdle time.Duration // a client connection silent this long between requests is closed
 	FirstTime      time.Duration // from connecting, in which a first request must be whole
@@ -78,13 +78,18 @@
 // downstreamPart of all descriptors, in percent, are for clients at the most.
 const downstreamPart = 29
 
-// Bodies that are passed on hold a part of the memory at the most.
+// Bodies that are passed on hold a part of the memory at the most: those under way share it.
 const (
-	flowPart  = 4
+	flowPart  = 16 // in each direction
 	flowMost  = 64 << 10
 	flowLeast = 8 << 10
 )
 
+// Window is how many bytes may be held of one more body, where so many are passed on already.
+func (l Limits) Window(flows int) int {
+	return min(flowMost, max(flowLeast, l.FlowBytes/(flows+1)))
+}
+
 // Site is what the configuration tells of the machine and of its peers.
 type Site struct {
 	Sockets, MemoryMB                  int
@@ -160,7 +165,6 @@
 	// there: if that third were reached before our own bound, nobody could connect and we would close nothing.
 	l.Downstream = min(free/2, l.Sockets*downstreamPart/100)
 	l.Upstream = free - l.Downstream
-	// Each client may have one body under way, held once as it comes and once as it is written.
-	l.FlowBytes = min(flowMost, max(flowLeast, l.MemoryMB<<20/flowPart/max(1, 2*l.Downstream)))
+	l.FlowBytes = l.MemoryMB << 20 / flowPart
 	return l, nil
 }
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -38,6 +38,7 @@
 	toldAt    time.Duration // when the operator was last told of a pause
 	held      bool          // nobody is read: another process is about to take over
 	hand      func(State, int)
+	uploads   int // requests whose bodies are passed on while they come
 	elsewhere int // connections that another process holds
 }
 
@@ -258,27 +259,32 @@
 	}
 }
 
+// read takes what one read brings, and no more than there is room for: the others have their turns, and hundreds that
+// begin long bodies at one instant must not hold the first piece of each at its largest.
 func (c *Conn) read() {
+	most := c.s.lim.HeadBytes
+	if c.up != nil {
+		most = max(1, c.up.pipe.Room())
+	}
 	buf := c.s.loop.Buf()
-	for {
-		if c.up != nil { // no more than there is room for
-			buf = buf[:min(len(buf), max(1, c.up.pipe.Room()))]
-		}
-		n, err := loop.Read(c.src.FD(), buf)
-		if errors.Is(err, loop.ErrAgain) {
-			break
-		}
-		if err != nil { // gone, whether with EOF or a reset
-			c.gone()
-			return
-		}
+	n, err := loop.Read(c.src.FD(), buf[:min(len(buf), most)])
+	if err != nil && !errors.Is(err, loop.ErrAgain) { // gone, whether with EOF or a reset
+		c.gone()
+		return
+	}
+	if n > 0 {
 		c.moved = c.s.loop.Now()
 		if !c.busy && !c.parser.Begun() {
 			c.since = c.moved
 		}
-		c.parser.Feed(buf[:n])
-		if n < len(buf) || c.up != nil || c.parser.Buffered() > c.most() {
-			break
+		d := 0
+		if c.up != nil {
+			d = c.parser.Direct(buf[:n])
+			c.up.got += d
+			c.up.pipe.Put(buf[:d])
+		}
+		if d < n {
+			c.parser.Feed(buf[d:n])
 		}
 	}
 	c.upload()
@@ -354,7 +360,7 @@
 	case c.parser.Buffered() <= c.most():
 		events |= loop.In
 	}
-	if len(c.out) > 0 {
+	if len(c.out) > 0 || c.down != nil && len(c.down.pipe.Next()) > 0 {
 		events |= loop.Out
 	}
 	c.src.Want(events)
@@ -457,7 +463,7 @@
 	busy := c.busy
 	if c.up != nil {
 		c.up.pipe.End(false)
-		c.up = nil
+		c.noUpload()
 	}
 	c.drop()
 	if busy {
--- a/internal/net/downstream/flow.go
+++ b/internal/net/downstream/flow.go
@@ -5,6 +5,7 @@
 
 	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
 )
 
 // Bodies that are passed on while they come: requests' upwards, answers' downwards.
@@ -18,8 +19,11 @@
 
 // begin hands on an open request: its front may send it on before its body has come.
 func (c *Conn) begin(req *http1.Request) {
-	u := &upload{pipe: flow.New(c.s.lim.FlowBytes, req.Length), since: c.s.loop.Now()}
-	req.Rest, c.up = u.pipe, u
+	u := &upload{pipe: flow.New(c.s.lim.Window(c.s.uploads), req.Length), since: c.s.loop.Now()}
+	u.pipe.Put(req.Body) // it is held there alone
+	c.parser.Slim()
+	req.Body, req.Rest, c.up = nil, u.pipe, u
+	c.s.uploads++
 	u.pipe.OnRoom = c.want
 	c.ln.front.Request(c, req)
 	if c.up == nil {
@@ -33,7 +37,7 @@
 
 // upload passes on what has come of the body. It tells whether the connection may be read on.
 func (c *Conn) upload() {
-	if c.up == nil || c.up.pipe.Room() == 0 || c.src.FD() < 0 {
+	if c.up == nil || c.src.FD() < 0 || c.up.pipe.Room() == 0 && c.parser.Buffered() > 0 {
 		return
 	}
 	u := c.up
@@ -45,8 +49,9 @@
 	}
 	u.got += len(b)
 	u.pipe.Put(b)
+	c.parser.Slim()
 	if whole {
-		c.up = nil
+		c.noUpload()
 		u.pipe.End(true)
 		if c.busy {
 			c.ln.front.Whole(c)
@@ -54,10 +59,16 @@
 	}
 }
 
+// noUpload: the present request has no more to come.
+func (c *Conn) noUpload() {
+	c.up = nil
+	c.s.uploads--
+}
+
 // cut ends an upload that will never be whole, and its stream with it.
 func (c *Conn) cut() {
 	u := c.up
-	c.up = nil
+	c.noUpload()
 	u.pipe.End(false)
 	if c.busy {
 		c.ln.front.Left(c)
@@ -128,11 +139,20 @@
 		d.moved = c.s.loop.Now()
 	}
 	if b := d.pipe.Next(); len(b) > 0 && len(c.out) == 0 {
-		framed := d.frame(make([]byte, 0, len(b)+16), b)
-		if !c.write(framed) {
-			return
+		n := len(b)
+		if d.framing == http1.ByChunks {
+			if !c.write(http1.AppendChunk(make([]byte, 0, n+16), b)) {
+				return
+			}
+		} else {
+			var err error
+			if n, err = loop.Write(c.src.FD(), b); err != nil {
+				c.gone()
+				return
+			}
 		}
-		d.pipe.Took(len(b))
+		d.pipe.Took(n)
+		c.want()
 	}
 	switch {
 	case d.pipe.Broken() && len(d.pipe.Next()) == 0:
@@ -162,7 +182,8 @@
 func (c *Conn) dropUpload() {
 	if c.up != nil {
 		c.up.pipe.Drop()
-		c.up, c.unread = nil, true
+		c.noUpload()
+		c.unread = true
 	}
 }
 
--- a/internal/net/flow/flow.go
+++ b/internal/net/flow/flow.go
@@ -9,6 +9,7 @@
 	OnRoom func() // the putter's: there is room, or nobody takes any more. The same holds
 
 	most    int
+	room    []byte // what buf is a part of, kept as long as the pipe is
 	buf     []byte
 	taken   int64
 	whole   bool // ended well
@@ -32,6 +33,12 @@
 	if p.dropped || len(b) == 0 {
 		return
 	}
+	if len(p.buf)+len(b) > cap(p.buf) { // what was taken makes room, or more is needed
+		if most := cap(p.room); len(p.buf)+len(b) > most {
+			p.room = make([]byte, 0, max(len(p.buf)+len(b), min(p.most, 2*most)))
+		}
+		p.buf = append(p.room[:0], p.buf...)
+	}
 	p.buf = append(p.buf, b...)
 	p.tell()
 }
@@ -61,7 +68,10 @@
 	}
 	p.taken += int64(n)
 	if p.buf = p.buf[n:]; len(p.buf) == 0 {
-		p.buf = nil
+		if cap(p.room) > p.most { // of what came before the pipe was there
+			p.room = nil
+		}
+		p.buf = p.room[:0]
 	}
 	if p.OnRoom != nil {
 		p.OnRoom()
@@ -82,7 +92,7 @@
 	if p == nil || p.dropped {
 		return
 	}
-	p.dropped, p.buf, p.OnData = true, nil, nil
+	p.dropped, p.room, p.buf, p.OnData = true, nil, nil, nil
 	if p.OnRoom != nil {
 		p.OnRoom()
 	}
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -370,6 +370,32 @@
 	return r.body, whole, err
 }
 
+// Direct tells how many of these bytes, which have come and were not fed, are the next of an open body: all that need
+// not be looked at. They are taken for pulled.
+func (r *reader) Direct(b []byte) (n int) {
+	if !r.open || r.ended || len(r.buf) > 0 || r.framing == chunked {
+		return 0
+	}
+	if n = len(b); r.framing == sized {
+		n = min(n, r.left)
+		r.left -= n
+	}
+	if n = min(n, r.bodyMost-r.passed-len(r.body)); n < 0 {
+		return 0
+	}
+	r.passed += n
+	return n
+}
+
+// Slim lets go of what an open body's pieces needed, between two of them.
+func (r *reader) Slim() {
+	if len(r.buf) == 0 && r.scanned == 0 {
+		r.room, r.buf = nil, nil
+	}
+	r.passed += len(r.body)
+	r.body = nil
+}
+
 // RequestParser reads the requests of one connection.
 type RequestParser struct {
 	reader
--- a/internal/net/upstream/flow.go
+++ b/internal/net/upstream/flow.go
@@ -39,29 +39,34 @@
 	}
 }
 
-// draw takes what has come of the body into out. It tells whether there was any, or the end.
-func (c *conn) draw() bool {
+// draw writes what has come of the body, or puts it into out where it goes in chunks. It tells whether out is to be
+// written again; if not, more of the body has to come first, or the host has to take some, or it is whole.
+func (c *conn) draw() (again bool, err error) {
 	if c.body == nil {
-		return false
+		return false, nil
 	}
 	b := c.body.Next()
-	if len(b) == 0 && !c.body.Whole() {
-		return false
-	}
-	c.out = c.out[:0]
 	if c.body.Length >= 0 {
-		c.out = append(c.out, b...)
-	} else {
-		c.out = http1.AppendChunk(c.out, b)
+		n, err := loop.Write(c.src.FD(), b)
+		if n > 0 {
+			c.took = c.p.loop.Now()
+		}
+		c.body.Took(n)
+		if c.body.Whole() {
+			c.detach()
+		}
+		return false, err
+	}
+	if len(b) == 0 && !c.body.Whole() {
+		return false, nil
 	}
+	c.out = http1.AppendChunk(make([]byte, 0, len(b)+24), b)
 	c.body.Took(len(b))
 	if c.body.Whole() {
-		if c.body.Length < 0 {
-			c.out = http1.AppendLastChunk(c.out)
-		}
+		c.out = http1.AppendLastChunk(c.out)
 		c.detach()
 	}
-	return true
+	return true, nil
 }
 
 // relay is the body of an answer that is passed on.
@@ -75,7 +80,7 @@
 	ref := c.ref
 	c.early.Stop()
 	delete(c.p.out, ref)
-	pipe := flow.New(c.p.lim.FlowBytes, resp.Length)
+	pipe := flow.New(c.p.lim.Window(len(c.p.relays)), resp.Length)
 	c.relay = &relay{pipe: pipe, moved: c.p.loop.Now()}
 	c.closes = resp.Close || len(c.out) > 0 || c.body != nil
 	c.detach()
@@ -88,8 +93,9 @@
 		}
 		c.watch()
 	}
-	body := append([]byte(nil), resp.Body...) // the parser's next call takes its room
-	c.p.ended(ref, c.probe, outcome(resp), core.Answer{Body: body, ContentType: resp.Headers.Get("Content-Type"), Rest: pipe})
+	pipe.Put(resp.Body)
+	c.parser.Slim()
+	c.p.ended(ref, c.probe, outcome(resp), core.Answer{ContentType: resp.Headers.Get("Content-Type"), Rest: pipe})
 	if c.relay != nil {
 		c.pull()
 	}
@@ -105,6 +111,7 @@
 	r := c.relay
 	r.moved = c.p.loop.Now()
 	r.pipe.Put(b)
+	c.parser.Slim()
 	if whole && c.relay == r {
 		c.relayed()
 		return
@@ -155,7 +162,7 @@
 		}
 	}
 	for _, c := range p.out {
-		if c.body == nil || len(c.out) == 0 { // whole, or its client is waited for, which has a time of its own
+		if c.body == nil || len(c.out) == 0 && len(c.body.Next()) == 0 { // whole, or its client is waited for, which has a time of its own
 			c.took = now
 		} else if c.up && now-c.took > p.lim.FlowSilence {
 			c.fail(errSilent)
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -289,7 +289,7 @@
 	if events&(loop.In|loop.Hangup) != 0 {
 		c.read()
 	}
-	if events&loop.Out != 0 && c.relay == nil && c.src.FD() >= 0 && len(c.out) > 0 {
+	if events&loop.Out != 0 && c.relay == nil && c.src.FD() >= 0 && (len(c.out) > 0 || c.body != nil) {
 		c.flush()
 	}
 }
@@ -308,12 +308,21 @@
 			c.src.Want(loop.In | loop.Out | loop.Hangup)
 			return
 		}
-		if !c.draw() {
+		again, err := c.draw()
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		if !again {
 			break
 		}
 	}
-	if c.body != nil { // more comes
-		c.src.Want(loop.In | loop.Hangup)
+	if c.body != nil { // more comes, or the host has yet to take some
+		events := uint32(loop.In | loop.Hangup)
+		if len(c.body.Next()) > 0 {
+			events |= loop.Out
+		}
+		c.src.Want(events)
 		return
 	}
 	if c.out != nil && !c.probe {
@@ -353,11 +362,19 @@
 			c.close()
 			return
 		}
-		c.parser.Feed(buf[:n])
 		if c.relay != nil { // the others have their turns
+			d := c.parser.Direct(buf[:n])
+			c.relay.pipe.Put(buf[:d])
+			if c.relay == nil { // its client has left with that
+				return
+			}
+			if d < n {
+				c.parser.Feed(buf[d:n])
+			}
 			c.pull()
 			return
 		}
+		c.parser.Feed(buf[:n])
 		resp, err := c.parser.Next()
 		switch {
 		case err != nil:
