--- a/internal/net/http1/write.go
+++ b/internal/net/http1/write.go
@@ -8,13 +8,7 @@
 // AppendRequest appends a request. A body goes with its length, as does the empty one of a method
 // that usually has one.
 func AppendRequest(b []byte, method, target, host string, h Headers, body []byte) []byte {
-	b = append(b, method...)
-	b = append(b, ' ')
-	b = append(b, target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, host...)
-	b = append(b, "\r\n"...)
-	b = appendHeaders(b, h)
+	b = appendLine(b, method, target, host, h)
 	if len(body) > 0 || method == "POST" || method == "PUT" || method == "PATCH" {
 		b = appendLength(b, int64(len(body)))
 	}
@@ -25,13 +19,7 @@
 // AppendOpenRequest appends a request's head, and the beginning of its body of which more follows; where no
 // length is told ahead (below 0), in chunks.
 func AppendOpenRequest(b []byte, method, target, host string, h Headers, begin []byte, length int64) []byte {
-	b = append(b, method...)
-	b = append(b, ' ')
-	b = append(b, target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, host...)
-	b = append(b, "\r\n"...)
-	b = appendHeaders(b, h)
+	b = appendLine(b, method, target, host, h)
 	if length >= 0 {
 		return append(append(appendLength(b, length), "\r\n"...), begin...)
 	}
@@ -68,15 +56,7 @@
 
 // AppendOpenResponse appends the head of a response whose body follows.
 func AppendOpenResponse(b []byte, status int, h Headers, length int64, f Framing, closing bool) []byte {
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(status), 10)
-	b = append(b, ' ')
-	b = append(b, http.StatusText(status)...)
-	b = append(b, "\r\n"...)
-	b = appendHeaders(b, h)
-	if closing {
-		b = append(b, "Connection: close\r\n"...)
-	}
+	b = appendStatus(b, status, h, closing)
 	switch f {
 	case BySize:
 		b = appendLength(b, length)
@@ -88,6 +68,16 @@
 
 // AppendResponse appends a response with its length. The body of an answer to HEAD is left out.
 func AppendResponse(b []byte, status int, h Headers, body []byte, closing, head bool) []byte {
+	b = appendStatus(b, status, h, closing)
+	b = append(appendLength(b, int64(len(body))), "\r\n"...)
+	if head {
+		return b
+	}
+	return append(b, body...)
+}
+
+// appendStatus appends the status line and the fields that do not frame the body.
+func appendStatus(b []byte, status int, h Headers, closing bool) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
@@ -97,11 +87,18 @@
 	if closing {
 		b = append(b, "Connection: close\r\n"...)
 	}
-	b = append(appendLength(b, int64(len(body))), "\r\n"...)
-	if head {
-		return b
-	}
-	return append(b, body...)
+	return b
+}
+
+// appendLine appends the request line and the fields that do not frame the body.
+func appendLine(b []byte, method, target, host string, h Headers) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\n"...)
+	return appendHeaders(b, h)
 }
 
 func appendHeaders(b []byte, h Headers) []byte {
