Say things once: the time of a planned end, of a request's coming, and what network tests share

Change: Daemon.endInTime, Limits.RequestTime, package nettest; the dead parameters and guards are gone. No behaviour changed, no assertion.

--- a/cmd/ferryfront/sizes_test.go
+++ b/cmd/ferryfront/sizes_test.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // long is a body of its own for each seed; it is never held whole by the test either.
@@ -224,24 +226,12 @@
 	const n = 150 << 10
 	answer := strings.Repeat("0123456789", n/10)
 	plain := func(text string) string { // a host of its own, that writes this and closes
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		t.Cleanup(func() { ln.Close() })
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go func() {
-					defer c.Close()
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.WriteString(c, text)
-					}
-				}()
+		return nettest.Serve(t, func(c net.Conn) {
+			defer c.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, text)
 			}
-		}()
-		return ln.Addr().String()
+		})
 	}
 	forms := map[string]string{
 		"h1": "HTTP/1.1 200 OK\r\n\r\n" + answer,
--- a/internal/daemon/beside.go
+++ b/internal/daemon/beside.go
@@ -109,8 +109,8 @@
 	d.loop.Stop()
 }
 
-// release ends what the old process still has, when it was told to: its time is that of a planned end.
-func (d *Daemon) release() {
+// endInTime ends what is still open when the time of a planned end is up, and then the process.
+func (d *Daemon) endInTime() {
 	d.loop.After(d.cfg.Limits.DrainMost, func() {
 		if open := d.core.Open(); open > 0 {
 			d.log.Warn("drain cut short", "streams", open)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -337,13 +337,7 @@
 		d.server.CloseListeners()
 		d.drained = true
 	})
-	d.loop.After(d.cfg.Limits.DrainMost, func() {
-		if open := d.core.Open(); open > 0 {
-			d.log.Warn("drain cut short", "streams", open)
-			d.core.Abandon(d.loop.Now())
-		}
-		d.loop.After(d.cfg.Limits.DrainFlush, d.loop.Stop)
-	})
+	d.endInTime()
 }
 
 // fail ends the process with an error.
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -32,15 +32,12 @@
 
 // Ready tells whether a client's request would be served here.
 func (o office) Ready() bool {
-	return o.d.watcher != nil && o.d.watcher.Known() && o.d.server.Serving()
+	return o.d.watcher.Known() && o.d.server.Serving()
 }
 
 // Metrics appends the figures as they stand.
 func (o office) Metrics(room []byte) []byte {
 	d := o.d
-	if d.core == nil {
-		return d.figures.Append(room, figures.Present{})
-	}
 	return d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
 }
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -155,7 +155,7 @@
 		d.drain()
 	case phase.EndOwn:
 		d.log.Info("ending what is left", "streams", d.core.Open(), "connections", d.server.Connections())
-		d.release()
+		d.endInTime()
 	case phase.SayFarewell:
 		p.farewell()
 	case phase.ReportDone:
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -90,6 +90,11 @@
 	return min(flowMost, max(flowLeast, l.FlowBytes/(flows+1)))
 }
 
+// RequestTime is how long a request may take to come, from its first byte, of whose body so much has come.
+func (l Limits) RequestTime(body int) time.Duration {
+	return l.HeadTime + time.Duration(body)*time.Second/time.Duration(l.BodyRate)
+}
+
 // Site is what the configuration tells of the machine and of its peers.
 type Site struct {
 	Sockets, MemoryMB                  int
--- a/internal/net/counter/counter_test.go
+++ b/internal/net/counter/counter_test.go
@@ -14,6 +14,7 @@
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // desk takes the answers of calls and ends the loop when told to.
@@ -30,22 +31,6 @@
 	return 0
 }
 
-func listen(t *testing.T, serve func(net.Conn)) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return ln.Addr().String()
-}
-
 func setUp(t *testing.T, serve func(net.Conn)) (*desk, *Client) {
 	l, err := loop.New()
 	require.NoError(t, err)
@@ -53,7 +38,7 @@
 		CounterPending: 2, CounterLimit: 30 * time.Millisecond, CounterIdle: time.Minute, CounterSilence: time.Minute, CounterMove: time.Minute,
 		BackoffFirst: time.Millisecond, BackoffMost: time.Millisecond}
 	d := &desk{l: l}
-	c := New(l, lim, slog.New(slog.DiscardHandler), listen(t, serve))
+	c := New(l, lim, slog.New(slog.DiscardHandler), nettest.Serve(t, serve))
 	c.SetSink(d)
 	return d, c
 }
@@ -171,7 +156,7 @@
 	})
 	c.lim.CounterLimit = time.Minute
 	c.Add("n", 1, time.Second)
-	c.Move(listen(t, func(conn net.Conn) {
+	c.Move(nettest.Serve(t, func(conn net.Conn) {
 		b := make([]byte, 256)
 		_, _ = conn.Read(b)
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2")
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -145,7 +145,7 @@
 		case s.held: // not read, so what it has not shown is not its fault
 		case c.busy || c.lingering:
 		case c.parser.Begun():
-			if now-c.since > s.lim.HeadTime+time.Duration(c.parser.Body())*time.Second/time.Duration(s.lim.BodyRate) {
+			if now-c.since > s.lim.RequestTime(c.parser.Body()) {
 				c.malformed(408, "request not whole in time")
 			}
 		case !c.served && now-c.opened > s.lim.FirstTime:
--- a/internal/net/downstream/flow.go
+++ b/internal/net/downstream/flow.go
@@ -35,7 +35,7 @@
 	c.upload()
 }
 
-// upload passes on what has come of the body. It tells whether the connection may be read on.
+// upload passes on what has come of the body, as far as there is room.
 func (c *Conn) upload() {
 	if c.up == nil || c.src.FD() < 0 || c.up.pipe.Room() == 0 && c.parser.Buffered() > 0 {
 		return
@@ -82,7 +82,7 @@
 		u.since += sweepEvery
 		return false
 	}
-	return now-u.since > c.s.lim.HeadTime+time.Duration(u.got)*time.Second/time.Duration(c.s.lim.BodyRate)
+	return now-u.since > c.s.lim.RequestTime(u.got)
 }
 
 // download is an answer's body of which more comes.
@@ -95,7 +95,7 @@
 
 // Relay answers the present request with a body that is still coming. Should it break off, so does the connection:
 // the client can tell that it has not all of it. done is told which it was, unless the client leaves.
-func (c *Conn) Relay(status int, h http1.Headers, begin []byte, rest *flow.Pipe, done func(whole bool)) {
+func (c *Conn) Relay(status int, h http1.Headers, rest *flow.Pipe, done func(whole bool)) {
 	if c.src.FD() < 0 || !c.busy {
 		rest.Drop()
 		return
@@ -115,20 +115,13 @@
 	c.dropUpload()
 	c.down = d
 	b := http1.AppendOpenResponse(nil, status, h, rest.Length, d.framing, c.last)
-	if !c.write(d.frame(b, begin)) {
+	if !c.write(b) {
 		return
 	}
 	rest.OnData = c.pump
 	c.pump()
 }
 
-func (d *download) frame(b, data []byte) []byte {
-	if d.framing == http1.ByChunks {
-		return http1.AppendChunk(b, data)
-	}
-	return append(b, data...)
-}
-
 // pump writes what has come, as long as the client takes it.
 func (c *Conn) pump() {
 	d := c.down
--- a/internal/net/downstream/handover_test.go
+++ b/internal/net/downstream/handover_test.go
@@ -13,6 +13,7 @@
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // script is a front that notes requests and answers when it is told to.
@@ -30,29 +31,6 @@
 	c.Reply(status, nil, []byte(what))
 }
 
-type turner func() bool
-
-func (f turner) Turn(time.Duration) time.Duration { return 0 }
-
-// runUntil takes turns until a condition holds.
-func runUntil(t *testing.T, l *loop.Loop, cond func() bool) {
-	t.Helper()
-	end := time.Now().Add(20 * time.Second)
-	var look func()
-	done := false
-	look = func() {
-		if done = cond(); done || time.Now().After(end) {
-			l.Stop()
-			return
-		}
-		l.After(time.Millisecond, look)
-	}
-	l.After(0, look)
-	require.NoError(t, l.Run(turner(nil)))
-	l.Restart()
-	require.True(t, done)
-}
-
 // A held server takes up nothing, not even what it has read already; its connections go over with that, each when
 // its answer is written, and the other server goes on with the very next byte.
 func TestConnectionsGoOverWithWhatWasRead(t *testing.T) {
@@ -75,20 +53,20 @@
 	require.NoError(t, err)
 	_, err = io.WriteString(idle, "GET /i HT")
 	require.NoError(t, err)
-	runUntil(t, l, func() bool { return len(a.got) == 1 && len(old.conns) == 2 })
+	nettest.Until(t, l, func() bool { return len(a.got) == 1 && len(old.conns) == 2 })
 	old.Hold()
 	late := dial(t, where)
 	_, err = io.WriteString(late, "GET /late HTTP/1.1\r\n\r\n")
 	require.NoError(t, err)
 	a.open[0].Reply(200, nil, nil) // under the freeze
-	runUntil(t, l, func() bool { return true })
+	nettest.Until(t, l, func() bool { return true })
 	require.Equal(t, []string{"/1"}, a.got, "what was sent ahead waits")
 	old.HandOver(func(st State, fd int) { require.NoError(t, next.Take(st, fd)) })
 	next.Release()
 	_, err = io.WriteString(idle, "TP/1.1\r\n\r\n")
 	require.NoError(t, err)
 	answered := 0
-	runUntil(t, l, func() bool {
+	nettest.Until(t, l, func() bool {
 		for _, c := range b.open {
 			if c.busy {
 				answered++
@@ -100,7 +78,7 @@
 	require.ElementsMatch(t, []string{"/2", "/i", "/late"}, b.got)
 	_, err = io.WriteString(busy, "TP/1.1\r\n\r\n")
 	require.NoError(t, err)
-	runUntil(t, l, func() bool { return len(b.got) == 4 })
+	nettest.Until(t, l, func() bool { return len(b.got) == 4 })
 	require.Equal(t, "/3", b.got[3])
 	require.Equal(t, []string{"/1"}, a.got)
 	require.Zero(t, old.Connections())
@@ -144,12 +122,12 @@
 	c := dial(t, where)
 	_, err = io.WriteString(c, strings.Repeat("GET /x HTTP/1.1\r\n\r\n", 10))
 	require.NoError(t, err)
-	runUntil(t, l, func() bool { return s.held })
+	nettest.Until(t, l, func() bool { return s.held })
 	turns := 0
-	runUntil(t, l, func() bool { turns++; return turns > 20 })
+	nettest.Until(t, l, func() bool { turns++; return turns > 20 })
 	require.Len(t, f.got, lim.Ahead)
 	s.Release()
-	runUntil(t, l, func() bool { return len(f.got) == 10 })
+	nettest.Until(t, l, func() bool { return len(f.got) == 10 })
 }
 
 // A listener that another process holds, too, is told of no more once it is closed here, though a client waits.
--- a/internal/net/http1/write.go
+++ b/internal/net/http1/write.go
@@ -16,14 +16,14 @@
 	return append(b, body...)
 }
 
-// AppendOpenRequest appends a request's head, and the beginning of its body of which more follows; where no
-// length is told ahead (below 0), in chunks.
-func AppendOpenRequest(b []byte, method, target, host string, h Headers, begin []byte, length int64) []byte {
+// AppendOpenRequest appends the head of a request whose body follows; where no length is told ahead (below 0), in
+// chunks.
+func AppendOpenRequest(b []byte, method, target, host string, h Headers, length int64) []byte {
 	b = appendLine(b, method, target, host, h)
 	if length >= 0 {
-		return append(append(appendLength(b, length), "\r\n"...), begin...)
+		return append(appendLength(b, length), "\r\n"...)
 	}
-	return AppendChunk(append(b, "Transfer-Encoding: chunked\r\n\r\n"...), begin)
+	return append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
 }
 
 func appendLength(b []byte, n int64) []byte {
--- a/internal/net/upstream/flow.go
+++ b/internal/net/upstream/flow.go
@@ -135,7 +135,6 @@
 func (c *conn) relayed() {
 	pipe := c.relay.pipe
 	c.unrelay()
-	c.busy = false
 	if c.closes || c.parser.Buffered() > 0 {
 		c.close()
 	} else {
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -23,7 +23,7 @@
 	Method, Target string
 	Headers        http1.Headers // those that pass on
 	Body           []byte
-	Rest           *flow.Pipe // what comes after Body; nil: nothing
+	Rest           *flow.Pipe // the body, in place of Body, where it is still coming; nil: it is not
 	Trace          core.Trace // that the upstream host is told of; zero: none
 }
 
@@ -180,7 +180,7 @@
 		}
 	}
 	if m.Rest != nil {
-		b = http1.AppendOpenRequest(b, m.Method, m.Target, "service.internal", headers, m.Body, m.Rest.Length)
+		b = http1.AppendOpenRequest(b, m.Method, m.Target, "service.internal", headers, m.Rest.Length)
 	} else {
 		b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
 	}
