Settle quotas by X-Units-Charged on sockets, as the simulator's billed already did

The module settles by AttemptEnded.Billed (admission/attempts.go:130), but on sockets nothing filled it: upstream.answer built core.Answer from body and type only, and core.UpstreamEnded left Billed at 0. Seen by grep: only internal/simwire set Billed; no code read the header.

Change: core.Answer carries Billed; upstream reads a whole number from 1 up from a 200's X-Units-Charged (anything else tells nothing); the core passes it on in AttemptEnded. Tests in upstream (header read, bad values ignored) and core (it reaches the module).

Kept for correctness of the quota.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -219,7 +219,7 @@
 		c.orders.unran(s.order, t.Host, t.Began)
 	}
 	ev := admission.AttemptEnded{ID: s.id, Attempt: ref.Attempt, Server: t.Host, Outcome: o, Took: t.Took, Done: s.closed,
-		Gone: gone(s.payload)}
+		Billed: a.Billed, Gone: gone(s.payload)}
 	c.events = append(c.events, ev)
 	if c.witness != nil {
 		c.witness.AttemptEnded(ev, c.now)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -77,6 +77,16 @@
 	require.Empty(t, c.streams)
 }
 
+// The true units that an upstream host charged reach the module with the attempt's end.
+func TestTheTrueUnitsReachTheModule(t *testing.T) {
+	c, s, w, _ := setUp(sends)
+	id := c.Arrive(10*ms, w.request(100*ms))
+	c.Turn(10 * ms)
+	c.UpstreamEnded(30*ms, Ref{id, 0}, admission.OK, Answer{Body: []byte("yes"), Billed: 5})
+	c.Turn(30 * ms)
+	require.Equal(t, 5, s.seen[1].(admission.AttemptEnded).Billed)
+}
+
 // Deadlines of streams that have ended do not wake the loop.
 func TestAnEndedStreamNeedsNoTurn(t *testing.T) {
 	c, _, w, _ := setUp(sends)
--- a/internal/core/parts.go
+++ b/internal/core/parts.go
@@ -51,6 +51,7 @@
 	Body        []byte
 	ContentType string
 	Rest        any // what comes after Body, nil: nothing. The core does not look into it
+	Billed      int // true units that the upstream host charged, where units settle afterwards; 0: not told
 }
 
 // EndKind tells how a stream ended.
--- a/internal/net/upstream/flow_test.go
+++ b/internal/net/upstream/flow_test.go
@@ -85,3 +85,17 @@
 	Rest(sink.answers[0]).Drop()
 	require.Zero(t, p.Connections())
 }
+
+// The true units of a good answer come with it; what is not a whole number from 1 up tells nothing.
+func TestTheTrueUnitsOfAnAnswer(t *testing.T) {
+	for header, want := range map[string]int{"X-Units-Charged: 4\r\n": 4, "X-Units-Charged: four\r\n": 0,
+		"X-Units-Charged: 0\r\n": 0, "": 0} {
+		l, p, sink := pool(t, func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+header+"Content-Length: 2\r\n\r\nok")
+		})
+		p.Start(core.Ref{Stream: 1}, "h", &Message{Method: "GET", Target: "/"}, time.Minute)
+		nettest.Until(t, l, func() bool { return len(sink.outcomes) > 0 })
+		require.Equal(t, []admission.Outcome{admission.OK}, sink.outcomes)
+		require.Equal(t, want, sink.answers[0].Billed, header)
+	}
+}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
@@ -408,7 +409,7 @@
 	c.early.Stop()
 	c.early = nil
 	delete(c.p.out, ref)
-	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type")}
+	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type"), Billed: billed(resp)}
 	if resp.Close || len(c.out) > 0 || c.body != nil || c.parser.Buffered() > 0 {
 		c.detach()
 		c.close()
@@ -432,6 +433,19 @@
 	}
 }
 
+// billed reads the true units of a good answer from X-Units-Charged: a whole number from 1 up, else 0,
+// which tells nothing.
+func billed(r *http1.Response) int {
+	if r.Status != 200 {
+		return 0
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(r.Headers.Get("X-Units-Charged")))
+	if err != nil || n < 1 {
+		return 0
+	}
+	return n
+}
+
 // outcome tells what a response says of its request.
 func outcome(r *http1.Response) admission.Outcome {
 	switch {
