Give up a counter connection stuck behind an unreadable answer once another is answered

A probe (temporary log lines in internal/net/counter, not kept) showed 184 calls timed out in one run, in stretches on one connection with 4 to 8 calls owed and growing, each stretch ended only by the 2 s silence ("silent", 18 times) - the parser waited on an answer that can't be read to its end. Ruled out: backoff after a spoiled answer (2 calls refused at once in the run), dialling (none failed).

The way not taken: giving up on the first timeout, which would churn connections when the whole counter is merely crowded; a counter slow or silent as a whole is heard on none and still waits CounterSilence. "Heard" now means a whole answer, not any byte.

Test: TestAConnectionStuckBehindAnAnswerIsGivenUp (fails without the change: the stuck connection is kept and no later call of its name is answered).

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -40,6 +40,7 @@
 	CounterLimit   time.Duration // for a call
 	CounterIdle    time.Duration // a counter connection idle this long is dropped
 	CounterSilence time.Duration // one that owes answers this long is given up
+	CounterStuck   time.Duration // one that owes answers this long while another is heard: given up
 	CounterMove    time.Duration // for which calls to a counter that has moved may still be answered there
 	BackoffFirst   time.Duration // wait before a new connection after a failed one; doubles
 	BackoffMost    time.Duration
@@ -133,7 +134,7 @@
 		Callers: 16, CallerBytes: 256, CallerTime: 6 * time.Second,
 		UpstreamIdle: s.IdleClose * 8 / 10, DialLimit: s.DialLimit,
 		CounterConns: min(counterMost, max(counterLeast, counterFleet/max(1, s.Gateways))), CounterPending: 48, CounterLimit: s.CounterLimit,
-		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second,
+		CounterIdle: 4 * time.Second, CounterSilence: 2 * time.Second, CounterStuck: 4 * s.CounterLimit,
 		CounterMove:  1500 * time.Millisecond,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
 		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterSilence: 5 * time.Second, ReadyWait: 400 * time.Millisecond,
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -31,6 +31,7 @@
 	conns []*conn
 	old   []*conn            // to where the counter was before; they take no new calls
 	turns map[string][]*call // calls not told, by name
+	heard time.Duration      // the last answer on any connection
 	lost  bool               // told to the operator...
 	told  time.Duration      // ...at this time
 
@@ -110,6 +111,8 @@
 			k.close() // before the counter does: a call that crosses its close may have been added
 		case len(k.calls) > 0 && now-max(k.heard, k.calls[0].at) > c.lim.CounterSilence:
 			k.fail("silent")
+		default:
+			k.unstick()
 		}
 	}
 }
@@ -192,12 +195,30 @@
 	k.queued += len(k.out) - before
 	q.end = k.queued
 	k.calls = append(k.calls, q)
-	q.timer = k.c.loop.After(k.c.lim.CounterLimit, func() { k.c.answered(q, admission.TimedOut, 0) })
+	q.timer = k.c.loop.After(k.c.lim.CounterLimit, func() {
+		k.c.answered(q, admission.TimedOut, 0)
+		k.unstick()
+	})
 	if k.up && before == 0 {
 		k.flush()
 	}
 }
 
+// unstick gives the connection up if it owes answers and has said nothing for CounterStuck while another
+// connection to the counter was answered meanwhile: the counter works, and this one waits on an answer that
+// can't be read to its end, such as a body shorter than its length. Every call behind that would run out of
+// time in turn, and so many lost in a row tell the module that the counter is gone. A counter that is slow
+// or silent as a whole is heard on none; those wait for CounterSilence.
+func (k *conn) unstick() {
+	if k.src == nil || len(k.calls) == 0 {
+		return
+	}
+	since := max(k.heard, k.calls[0].at)
+	if k.c.loop.Now()-since > k.c.lim.CounterStuck && k.c.heard > since {
+		k.fail("stuck behind an answer that can't be read")
+	}
+}
+
 // open begins to connect unless it is connected, or has failed a moment ago.
 func (k *conn) open() bool {
 	now := k.c.loop.Now()
@@ -270,7 +291,6 @@
 		k.fail(err.Error())
 		return
 	}
-	k.heard = k.c.loop.Now()
 	k.parser.Feed(buf[:n])
 	for {
 		resp, err := k.parser.Next()
@@ -287,6 +307,7 @@
 		}
 		q := k.calls[0]
 		k.calls = k.calls[1:]
+		k.heard, k.c.heard = k.c.loop.Now(), k.c.loop.Now()
 		o, total := result(resp)
 		k.c.answered(q, o, total)
 		// After an answer that makes no sense, what follows can't be told apart from the rest of it.
--- a/internal/net/counter/counter_test.go
+++ b/internal/net/counter/counter_test.go
@@ -1,11 +1,13 @@
 package counter
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,3 +178,51 @@
 	require.NoError(t, d.l.Run(d))
 	require.Equal(t, []float64{1, 2}, []float64{d.got[0].Total, d.got[1].Total})
 }
+
+// A connection that waits on an answer shorter than its length is given up once another connection is
+// answered meanwhile: the counter works, and else every call behind would run out of time, one by one,
+// until the connection's silence is long. Here the names slow and fine go by connections 0 and 1.
+func TestAConnectionStuckBehindAnAnswerIsGivenUp(t *testing.T) {
+	var spoilt atomic.Bool
+	d, c := setUp(t, func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			for head, _ := r.ReadString('\n'); head != "\r\n" && head != ""; head, _ = r.ReadString('\n') {
+			}
+			if strings.Contains(line, "/counters/slow") && spoilt.CompareAndSwap(false, true) {
+				fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n1")
+				_, _ = io.Copy(io.Discard, conn)
+				return
+			}
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n7")
+		}
+	})
+	c.lim.CounterPending, c.lim.CounterStuck = 8, 120*time.Millisecond
+	c.conns = make([]*conn, 2)
+	c.fresh()
+	var ask func()
+	ask = func() {
+		c.Add("slow", 1, time.Second)
+		c.Add("fine", 1, time.Second)
+		d.l.After(20*time.Millisecond, ask)
+	}
+	d.l.After(0, ask)
+	began := d.l.Now()
+	answered := func() bool {
+		for _, ev := range d.got {
+			if ev.Name == "slow" && ev.Outcome == admission.OK {
+				return true
+			}
+		}
+		return false
+	}
+	nettest.Until(t, d.l, answered)
+	require.True(t, answered(), "the stuck connection was kept")
+	require.True(t, spoilt.Load())
+	require.Less(t, d.l.Now()-began, c.lim.CounterSilence, "given up before its silence ran out")
+}
