Membership messages in one datagram: protobuf's wire format by protowire, updates cut to fit

Design: kind, seq, target and updates as protobuf fields, written and read with protowire from the declared protobuf module; updates that do not fit are left out from the end, which gossip tolerates. The way not taken: generated message types, which need a code generator beside the build for four fields, and JSON, whose names would take half a datagram.

--- /dev/null
+++ b/internal/membership/wire.go
@@ -0,0 +1,145 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Datagram is the most bytes that the platform carries between ingresses in one message.
+const Datagram = 256
+
+// Fields of a message in protobuf's wire format: kind 1, seq 2, target 3, updates 4; of an update:
+// name 1, incarnation 2, state 3.
+const (
+	fKind, fSeq, fTarget, fUpdate = 1, 2, 3, 4
+	uName, uInc, uState           = 1, 2, 3
+)
+
+// Append writes msg to b in at most Datagram bytes. Updates that do not fit are left out, the first ones
+// kept; the head alone always fits, since names are bounded by the settings to far less.
+func Append(b []byte, msg Message) []byte {
+	start := len(b)
+	b = protowire.AppendTag(b, fKind, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(msg.Kind))
+	b = protowire.AppendTag(b, fSeq, protowire.VarintType)
+	b = protowire.AppendVarint(b, msg.Seq)
+	if msg.Target != "" {
+		b = protowire.AppendTag(b, fTarget, protowire.BytesType)
+		b = protowire.AppendString(b, msg.Target)
+	}
+	var u []byte
+	for _, up := range msg.Updates {
+		u = protowire.AppendTag(u[:0], uName, protowire.BytesType)
+		u = protowire.AppendString(u, up.Name)
+		u = protowire.AppendTag(u, uInc, protowire.VarintType)
+		u = protowire.AppendVarint(u, up.Incarnation)
+		u = protowire.AppendTag(u, uState, protowire.VarintType)
+		u = protowire.AppendVarint(u, uint64(up.State))
+		size := protowire.SizeTag(fUpdate) + protowire.SizeBytes(len(u))
+		if len(b)-start+size > Datagram {
+			break
+		}
+		b = protowire.AppendTag(b, fUpdate, protowire.BytesType)
+		b = protowire.AppendBytes(b, u)
+	}
+	return b
+}
+
+// ErrTooLong: a datagram longer than the platform carries.
+var ErrTooLong = errors.New("membership: datagram longer than 256 bytes")
+
+// Parse reads a message. Errors name the field that is wrong; unknown fields are skipped.
+func Parse(b []byte) (Message, error) {
+	var msg Message
+	if len(b) > Datagram {
+		return msg, ErrTooLong
+	}
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return msg, fmt.Errorf("membership: tag: %w", protowire.ParseError(n))
+		}
+		b = b[n:]
+		switch {
+		case num == fKind && typ == protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 || v > uint64(Sync) {
+				return msg, fmt.Errorf("membership: field kind: %d not known", v)
+			}
+			msg.Kind, b = Kind(v), b[n:]
+		case num == fSeq && typ == protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 {
+				return msg, fmt.Errorf("membership: field seq: %w", protowire.ParseError(n))
+			}
+			msg.Seq, b = v, b[n:]
+		case num == fTarget && typ == protowire.BytesType:
+			v, n := protowire.ConsumeString(b)
+			if n < 0 {
+				return msg, fmt.Errorf("membership: field target: %w", protowire.ParseError(n))
+			}
+			msg.Target, b = v, b[n:]
+		case num == fUpdate && typ == protowire.BytesType:
+			v, n := protowire.ConsumeBytes(b)
+			if n < 0 {
+				return msg, fmt.Errorf("membership: field updates: %w", protowire.ParseError(n))
+			}
+			u, err := parseUpdate(v)
+			if err != nil {
+				return msg, err
+			}
+			msg.Updates, b = append(msg.Updates, u), b[n:]
+		default:
+			n := protowire.ConsumeFieldValue(num, typ, b)
+			if n < 0 {
+				return msg, fmt.Errorf("membership: field %d: %w", num, protowire.ParseError(n))
+			}
+			b = b[n:]
+		}
+	}
+	return msg, nil
+}
+
+func parseUpdate(b []byte) (Update, error) {
+	var u Update
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return u, fmt.Errorf("membership: update tag: %w", protowire.ParseError(n))
+		}
+		b = b[n:]
+		switch {
+		case num == uName && typ == protowire.BytesType:
+			v, n := protowire.ConsumeString(b)
+			if n < 0 || v == "" {
+				return u, errors.New("membership: field updates.name: empty or cut short")
+			}
+			u.Name, b = v, b[n:]
+		case (num == uInc || num == uState) && typ == protowire.VarintType:
+			v, n := protowire.ConsumeVarint(b)
+			if n < 0 {
+				return u, fmt.Errorf("membership: field updates.%d: %w", num, protowire.ParseError(n))
+			}
+			if num == uInc {
+				u.Incarnation = v
+			} else if v > uint64(Left) {
+				return u, fmt.Errorf("membership: field updates.state: %d not known", v)
+			} else {
+				u.State = State(v)
+			}
+			b = b[n:]
+		default:
+			n := protowire.ConsumeFieldValue(num, typ, b)
+			if n < 0 {
+				return u, fmt.Errorf("membership: field updates.%d: %w", num, protowire.ParseError(n))
+			}
+			b = b[n:]
+		}
+	}
+	if u.Name == "" {
+		return u, errors.New("membership: field updates.name: missing")
+	}
+	return u, nil
+}
