Membership: read fields in one walk, and draw test fleets in one place

Need: duplicates showed the tag loop twice in wire.go and the drawing of a fleet three times in the tests. Change: walk reads fields and skips unknown ones for both the message and its updates; drawNet draws a fleet.

--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -87,12 +87,17 @@
 	return m.State
 }
 
+// drawNet draws a fleet of 3 to 8 members, losses up to loss and delays up to most.
+func drawNet(t *rapid.T, loss float64, most int) (int, *net) {
+	n := rapid.IntRange(3, 8).Draw(t, "members")
+	return n, newNet(n, rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, loss).Draw(t, "loss"),
+		time.Duration(rapid.IntRange(1, most).Draw(t, "most_ms"))*ms)
+}
+
 // Every member learns of every other from one seed, and with few losses none is declared dead.
 func TestJoinByOneSeedAndNoFalseDead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(3, 8).Draw(t, "members")
-		w := newNet(n, rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.05).Draw(t, "loss"),
-			time.Duration(rapid.IntRange(1, 30).Draw(t, "most_ms"))*ms)
+		n, w := drawNet(t, 0.05, 30)
 		w.run(6 * time.Second)
 		for _, a := range w.nodes {
 			require.Len(t, a.View().Members, n)
@@ -106,9 +111,7 @@
 // A killed member is dead in the view of every other within a bound, whatever the order of messages.
 func TestAKilledMemberIsFoundDead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(3, 8).Draw(t, "members")
-		w := newNet(n, rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.1).Draw(t, "loss"),
-			time.Duration(rapid.IntRange(1, 30).Draw(t, "most_ms"))*ms)
+		n, w := drawNet(t, 0.1, 30)
 		w.run(3 * time.Second)
 		victim := fmt.Sprintf("n%d", rapid.IntRange(0, n-1).Draw(t, "victim"))
 		w.down[victim] = true
@@ -161,9 +164,7 @@
 // no more than the whole: a dead member counts on, and only who said it left is taken out.
 func TestSharesNeverAddUpToMoreThanTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(3, 8).Draw(t, "members")
-		w := newNet(n, rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.3).Draw(t, "loss"),
-			time.Duration(rapid.IntRange(1, 200).Draw(t, "most_ms"))*ms)
+		n, w := drawNet(t, 0.3, 200)
 		w.run(2 * time.Second)
 		side := rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "side")
 		oneWay := rapid.Bool().Draw(t, "one_way")
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -56,90 +56,84 @@
 	if len(b) > Datagram {
 		return msg, ErrTooLong
 	}
-	for len(b) > 0 {
-		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return msg, fmt.Errorf("membership: tag: %w", protowire.ParseError(n))
-		}
-		b = b[n:]
+	err := walk(b, "", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
 		switch {
 		case num == fKind && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
 			if n < 0 || v > uint64(Sync) {
-				return msg, fmt.Errorf("membership: field kind: %d not known", v)
+				return 0, fmt.Errorf("membership: field kind: %d not known", v)
 			}
-			msg.Kind, b = Kind(v), b[n:]
+			msg.Kind = Kind(v)
+			return n, nil
 		case num == fSeq && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
-			if n < 0 {
-				return msg, fmt.Errorf("membership: field seq: %w", protowire.ParseError(n))
-			}
-			msg.Seq, b = v, b[n:]
+			msg.Seq = v
+			return n, nil
 		case num == fTarget && typ == protowire.BytesType:
 			v, n := protowire.ConsumeString(b)
-			if n < 0 {
-				return msg, fmt.Errorf("membership: field target: %w", protowire.ParseError(n))
-			}
-			msg.Target, b = v, b[n:]
+			msg.Target = v
+			return n, nil
 		case num == fUpdate && typ == protowire.BytesType:
 			v, n := protowire.ConsumeBytes(b)
 			if n < 0 {
-				return msg, fmt.Errorf("membership: field updates: %w", protowire.ParseError(n))
+				return n, nil
 			}
 			u, err := parseUpdate(v)
-			if err != nil {
-				return msg, err
-			}
-			msg.Updates, b = append(msg.Updates, u), b[n:]
-		default:
-			n := protowire.ConsumeFieldValue(num, typ, b)
-			if n < 0 {
-				return msg, fmt.Errorf("membership: field %d: %w", num, protowire.ParseError(n))
-			}
-			b = b[n:]
+			msg.Updates = append(msg.Updates, u)
+			return n, err
 		}
-	}
-	return msg, nil
+		return 0, nil
+	})
+	return msg, err
 }
 
 func parseUpdate(b []byte) (Update, error) {
 	var u Update
-	for len(b) > 0 {
-		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return u, fmt.Errorf("membership: update tag: %w", protowire.ParseError(n))
-		}
-		b = b[n:]
+	err := walk(b, "updates.", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
 		switch {
 		case num == uName && typ == protowire.BytesType:
 			v, n := protowire.ConsumeString(b)
-			if n < 0 || v == "" {
-				return u, errors.New("membership: field updates.name: empty or cut short")
-			}
-			u.Name, b = v, b[n:]
+			u.Name = v
+			return n, nil
 		case (num == uInc || num == uState) && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
-			if n < 0 {
-				return u, fmt.Errorf("membership: field updates.%d: %w", num, protowire.ParseError(n))
-			}
 			if num == uInc {
 				u.Incarnation = v
 			} else if v > uint64(Left) {
-				return u, fmt.Errorf("membership: field updates.state: %d not known", v)
+				return 0, fmt.Errorf("membership: field updates.state: %d not known", v)
 			} else {
 				u.State = State(v)
 			}
-			b = b[n:]
-		default:
-			n := protowire.ConsumeFieldValue(num, typ, b)
-			if n < 0 {
-				return u, fmt.Errorf("membership: field updates.%d: %w", num, protowire.ParseError(n))
-			}
-			b = b[n:]
+			return n, nil
 		}
+		return 0, nil
+	})
+	if err == nil && u.Name == "" {
+		err = errors.New("membership: field updates.name: missing")
 	}
-	if u.Name == "" {
-		return u, errors.New("membership: field updates.name: missing")
+	return u, err
+}
+
+// walk reads the fields of b in turn. take reads one it knows and returns the bytes it used, negative
+// where they are cut short, or 0 for a field it does not know, which is skipped.
+func walk(b []byte, where string, take func(protowire.Number, protowire.Type, []byte) (int, error)) error {
+	for len(b) > 0 {
+		num, typ, n := protowire.ConsumeTag(b)
+		if n < 0 {
+			return fmt.Errorf("membership: %stag: %w", where, protowire.ParseError(n))
+		}
+		b = b[n:]
+		n, err := take(num, typ, b)
+		if err != nil {
+			return err
+		}
+		if n == 0 {
+			n = protowire.ConsumeFieldValue(num, typ, b)
+		}
+		if n < 0 {
+			return fmt.Errorf("membership: field %s%d: %w", where, num, protowire.ParseError(n))
+		}
+		b = b[n:]
 	}
-	return u, nil
+	return nil
 }
