--- a/cmd/ferryfront/door_test.go
+++ b/cmd/ferryfront/door_test.go
@@ -72,10 +72,7 @@
 		switch r.URL.RawQuery {
 		case "wait":
 			waiting.Add(1)
-			select {
-			case <-release:
-			case <-w.over: // the test has failed
-			}
+			w.hold(release)
 		case "fail":
 			rw.WriteHeader(500)
 		}
--- a/cmd/ferryfront/settings_test.go
+++ b/cmd/ferryfront/settings_test.go
@@ -65,10 +65,7 @@
 	release := make(chan struct{})
 	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
 		if r.URL.RawQuery == "wait" {
-			select {
-			case <-release:
-			case <-w.over:
-			}
+			w.hold(release)
 		}
 		w.echo(rw, r)
 	}
@@ -164,10 +161,7 @@
 	w := newWorld(t).withDoor()
 	release := make(chan struct{})
 	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
-		select {
-		case <-release:
-		case <-w.over:
-		}
+		w.hold(release)
 		w.echo(rw, r)
 	}
 	w.start()
--- a/cmd/ferryfront/sizes_test.go
+++ b/cmd/ferryfront/sizes_test.go
@@ -135,10 +135,7 @@
 	var under atomic.Int32
 	w.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
 		under.Add(1)
-		select {
-		case <-gate:
-		case <-w.over:
-		}
+		w.hold(gate)
 		fmt.Fprint(rw, sum(r.Body))
 	}
 	w.start()
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -110,6 +110,14 @@
 	return w
 }
 
+// hold waits until release is closed, or until the test is over (it has failed).
+func (w *world) hold(release <-chan struct{}) {
+	select {
+	case <-release:
+	case <-w.over:
+	}
+}
+
 // echo answers with what came, and notes it.
 func (w *world) echo(rw http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
