--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -70,11 +70,8 @@
 // and go on sending, so the sides of a split together never allow more than the whole. The cost: what a
 // killed member would have had is unused until the settings name fewer.
 func (v View) Sharers(least int) int {
-	n := len(v.Members) - v.Count(Left)
-	if named := least - v.Count(Left); named > n {
-		n = named
-	}
-	return max(1, n)
+	left := v.Count(Left)
+	return max(1, len(v.Members)-left, least-left)
 }
 
 // Share is this member's part of a joint budget: 1 over Sharers.
