Requests that must not run twice avoid kept connections where those are seen to be reset

Lines at fault: upstream.start took the kept connection used last whatever the request was; for one that must not run twice the reset is final, for the price of a handshake (1 to 2 ms of 100 ms of work). Change: the pool learns what part of requests is reset soon after the writing, on kept and on new connections; while kept ones lose 1% more, messages marked Once (a write without an idempotency key) go on a new one. Ways not taken: new connections for all (costs every host a handshake for each request); holding back the last byte of a request until the connection has shown itself (adds a round trip to each).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -80,6 +80,7 @@
 		Owner: o, Open: r.Open}
 	req.RequestArrived.Open = r.Open
 	m := Message(r)
+	m.Once = a.Write && req.Order == ""
 	if s.Observed() {
 		req.Trace = trace(a.Customer, req.Order, r)
 		m.Trace = req.Trace
--- /dev/null
+++ b/internal/net/upstream/reuse.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
+)
+
+// Whether a kept connection is good enough for a request that must not run twice. A host, or what stands before
+// it, may drop kept connections without a word: the next request on one is reset, and nobody can tell whether it
+// ran. One that may be repeated loses little by it. One that must never run twice is lost, for the price of a
+// handshake. So what became of requests on kept and on new connections is watched, and while kept ones lose
+// visibly more, such requests go on new ones.
+
+const (
+	reuseGain   = 0.01 // EWMA weight of one request in the part reset, on kept and on new connections
+	reuseMemory = 60.0 // seconds for which that is remembered while nothing is seen
+	reuseLoss   = 0.01 // part lost more on kept than on new ones that is worth a handshake, its cost in a request's
+	// work: 1 to 2 ms of 100
+	reuseSoon = 25 * time.Millisecond // a reset this soon after the writing is the connection's, later the host's
+)
+
+// reuse is what was seen of resets.
+type reuse struct{ kept, fresh estimate.Fading }
+
+// learn takes in the end of a request: whether it was reset before a byte of its answer came, soon after it was
+// written.
+func (r *reuse) learn(now time.Duration, kept, reset bool) {
+	of, seen := &r.fresh, 0.0
+	if kept {
+		of = &r.kept
+	}
+	if reset {
+		seen = 1
+	}
+	of.Learn(now, reuseMemory, reuseGain, seen)
+}
+
+// risky tells whether kept connections lose so many more than new ones that a handshake costs less.
+func (r *reuse) risky(now time.Duration) bool {
+	return r.kept.Now(now, reuseMemory)-r.fresh.Now(now, reuseMemory) > reuseLoss
+}
+
+// keeps returns the kept connection that a message is to go on, nil: a new one. Where one is passed over, the
+// oldest makes room, so that there are no more of them than without.
+func (p *Pool) keeps(h *host, m *Message) *conn {
+	n := len(h.idle)
+	if n == 0 {
+		return nil
+	}
+	if m.Once && p.reuse.risky(p.loop.Now()) {
+		h.idle[0].close()
+		return nil
+	}
+	c := h.idle[n-1]
+	h.idle = h.idle[:n-1]
+	c.kept = true
+	return c
+}
+
+// makeRoom closes the connection that has been idle longest.
+func (p *Pool) makeRoom() bool {
+	var oldest *conn
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since < oldest.since) {
+			oldest = h.idle[0]
+		}
+	}
+	if oldest != nil {
+		oldest.close()
+	}
+	return oldest != nil
+}
+
+// rest keeps the connection for the next request.
+func (c *conn) rest() {
+	c.since = c.p.loop.Now()
+	switch {
+	case c.p.hosts[c.h.name] != c.h:
+		c.close()
+	case c.p.hand != nil:
+		c.give()
+	default:
+		c.h.idle = append(c.h.idle, c)
+	}
+}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -26,6 +26,7 @@
 	Body           []byte
 	Rest           *flow.Pipe // the body, in place of Body, where it is still coming; nil: it is not
 	Trace          core.Trace // that the upstream host is told of; zero: none
+	Once           bool       // it must not run twice: once it may have run, nothing can be done for it
 }
 
 // Sink is told how upstream requests end.
@@ -46,6 +47,7 @@
 	conns  int
 	whole  *uint64       // counts requests written whole, probes aside
 	told   time.Duration // when the operator was last told of one not opened
+	reuse  reuse
 
 	elsewhere int // connections that another process of this ingress holds
 	hand      func(host string, since time.Duration, fd int)
@@ -137,6 +139,8 @@
 	ref     core.Ref
 	out     []byte // of the request, not written yet
 	since   time.Duration
+	kept    bool          // it has served a request before this one
+	wrote   time.Duration // the request was whole on it
 	dialing *loop.Timer
 	took    time.Duration // the host last took some of body
 	body    *flow.Pipe    // of the request, what is not in out yet; nil: nothing
@@ -185,9 +189,7 @@
 	} else {
 		b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
 	}
-	if n := len(h.idle); n > 0 {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
+	if c := p.keeps(h, m); c != nil {
 		c.begin(ref, probe, b)
 		if m.Rest != nil {
 			c.attach(m.Rest)
@@ -235,20 +237,6 @@
 	return c, nil
 }
 
-// makeRoom closes the connection that has been idle longest.
-func (p *Pool) makeRoom() bool {
-	var oldest *conn
-	for _, h := range p.hosts {
-		if len(h.idle) > 0 && (oldest == nil || h.idle[0].since < oldest.since) {
-			oldest = h.idle[0]
-		}
-	}
-	if oldest != nil {
-		oldest.close()
-	}
-	return oldest != nil
-}
-
 // Cancel gives up a request by closing its connection: whatever comes of it reaches nobody.
 func (p *Pool) Cancel(ref core.Ref) {
 	if c := p.out[ref]; c != nil {
@@ -328,6 +316,7 @@
 	}
 	if c.out != nil && !c.probe {
 		*c.p.whole++
+		c.wrote = c.p.loop.Now()
 	}
 	c.out = nil
 	c.src.Want(loop.In | loop.Hangup)
@@ -405,6 +394,9 @@
 // behind it, leaves a connection that can't be trusted with the next one.
 func (c *conn) answer(resp *http1.Response) {
 	ref, probe := c.ref, c.probe
+	if !probe {
+		c.p.reuse.learn(c.p.loop.Now(), c.kept, false)
+	}
 	c.busy = false
 	c.early.Stop()
 	c.early = nil
@@ -420,19 +412,6 @@
 	c.parser.Rest()
 }
 
-// rest keeps the connection for the next request.
-func (c *conn) rest() {
-	c.since = c.p.loop.Now()
-	switch {
-	case c.p.hosts[c.h.name] != c.h:
-		c.close()
-	case c.p.hand != nil:
-		c.give()
-	default:
-		c.h.idle = append(c.h.idle, c)
-	}
-}
-
 // billed reads the true units of a good answer from X-Units-Charged: a whole number from 1 up, else 0,
 // which tells nothing.
 func billed(r *http1.Response) int {
@@ -476,6 +455,9 @@
 	c.detach()
 	c.close()
 	if busy {
+		if now := c.p.loop.Now(); o == admission.Broken && !c.probe && c.parser.Buffered() == 0 && now-c.wrote < reuseSoon {
+			c.p.reuse.learn(now, c.kept, true)
+		}
 		delete(c.p.out, c.ref)
 		c.p.ended(c.ref, c.probe, o, core.Answer{})
 	}
