--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -1,11 +1,16 @@
 // Package membership tells which ingresses are there: a failure detector in the manner of SWIM, with
-// suspicion and incarnation numbers, and a view with a version. It does no input or output: events go in,
-// messages to send come out, as with the decision module. The transport below it is not here.
+// suspicion and incarnation numbers, a view with a version, and what of a joint budget is this member's. It
+// does no input or output: events go in, messages to send come out, as with the decision module. The
+// transport is package peers.
 package membership
 
 import (
+	"encoding/binary"
 	"slices"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // State of a member in a view.
@@ -15,9 +20,12 @@
 	Alive   State = iota
 	Suspect       // missed its probes; it may refute with a higher incarnation
 	Dead          // suspected for longer than Config.SuspectFor
-	Left          // said that it leaves
+	Left          // said that it leaves for good
 )
 
+// States are all of them.
+var States = [...]State{Alive, Suspect, Dead, Left}
+
 func (s State) String() string { return [...]string{"alive", "suspect", "dead", "left"}[s] }
 
 // Update is what one member says of another, carried on every message.
@@ -27,15 +35,10 @@
 	State       State
 }
 
-// supersedes tells whether u is newer news than what is held of the member. At one incarnation a worse
-// state wins; a higher incarnation wins over all but a leave, which is final.
+// supersedes tells whether u is newer news than what is held of the member: a higher incarnation is, and at
+// one incarnation a worse state. Only the member itself raises its incarnation: to refute, or with a new life.
 func (u Update) supersedes(m Member) bool {
-	switch {
-	case m.State == Left:
-		return false
-	case u.State == Left:
-		return true
-	case u.Incarnation != m.Incarnation:
+	if u.Incarnation != m.Incarnation {
 		return u.Incarnation > m.Incarnation
 	}
 	return u.State > m.State
@@ -65,33 +68,14 @@
 	return n
 }
 
-// Sharers is the number of members by which a joint budget is divided, never below least (the number
-// that the settings name). Only a member that said it left is taken out: one that is dead may be cut off
-// and go on sending, so the sides of a split together never allow more than the whole. The cost: what a
-// killed member would have had is unused until the settings name fewer.
-func (v View) Sharers(least int) int {
-	left := v.Count(Left)
-	return max(1, len(v.Members)-left, least-left)
-}
-
-// Share is this member's part of a joint budget: 1 over Sharers.
-func (v View) Share(least int) float64 { return 1 / float64(v.Sharers(least)) }
-
 // members keeps the view sorted by name and counts its changes.
 type members struct {
 	view View
 }
 
 func (ms *members) find(name string) (int, bool) {
-	return slices.BinarySearchFunc(ms.view.Members, name, func(m Member, n string) int {
-		switch {
-		case m.Name < n:
-			return -1
-		case m.Name > n:
-			return 1
-		}
-		return 0
-	})
+	return slices.BinarySearchFunc(ms.view.Members, name,
+		func(m Member, n string) int { return strings.Compare(m.Name, n) })
 }
 
 // get returns the member, if known.
@@ -103,6 +87,26 @@
 	return ms.view.Members[i], true
 }
 
+// out is a digest of who left, and in which life; 0: nobody. One member is left aside.
+func (ms *members) out(but string) uint64 {
+	var h xxhash.Digest
+	none := true
+	for _, m := range ms.view.Members {
+		if m.State == Left && m.Name != but {
+			if none {
+				h.Reset()
+			}
+			none = false
+			_, _ = h.WriteString(m.Name) // it never fails, nor does the next
+			_, _ = h.Write(binary.LittleEndian.AppendUint64([]byte{0}, m.Incarnation))
+		}
+	}
+	if none {
+		return 0
+	}
+	return max(1, h.Sum64())
+}
+
 // apply takes an update if it is news, and reports whether it was.
 func (ms *members) apply(u Update, now time.Duration) bool {
 	i, ok := ms.find(u.Name)
--- /dev/null
+++ b/internal/membership/share.go
@@ -0,0 +1,77 @@
+package membership
+
+import "time"
+
+// What of a joint budget is this member's while views disagree. Shares may grow by one thing only: members that
+// said they left for good. A share that has grown is held on a lease, and a member that comes back waits until
+// no such lease can be against it. So at no time do all shares add up to more than the whole, whatever is cut
+// off from what.
+
+// lease is how long after the last word of each member that is there a view counts as whole: the time in which
+// each is probed by this node and probes it.
+func (n *Node) lease() time.Duration { return time.Duration(len(n.ms.view.Members)+1) * n.cfg.Period }
+
+// Absent returns the members that no longer share joint budgets, by name: those that left, as long as this node
+// has heard every other member within its lease, and each said then that the same ones left. Cut off from any, or
+// at odds with it, it counts all of them in again: it might not have heard of one that came back.
+func (n *Node) Absent(now time.Duration) []string {
+	var out []string
+	mine := n.ms.out(n.cfg.Me)
+	for _, m := range n.ms.view.Members {
+		switch {
+		case m.Name == n.cfg.Me:
+		case m.State == Left:
+			out = append(out, m.Name)
+		case m.State != Alive || n.heard[m.Name] == 0 || now-n.heard[m.Name] > n.lease(), n.outs[m.Name] != mine:
+			return nil
+		}
+	}
+	if !n.Settled(now) {
+		return nil
+	}
+	return out
+}
+
+// Settled tells whether this node may take its share of what is never to be passed. Others may have counted it
+// out, if it left in an earlier life. So each that is there must be known to hold its new life, or be dead for
+// longer than a lease, by when it counts all in again; and one at least must have been heard, if there is to be
+// any other: a node that hears nobody can't know.
+func (n *Node) Settled(now time.Duration) bool {
+	if n.left {
+		return false
+	}
+	if len(n.ms.view.Members) < n.cfg.Least { // it has not been told of all that may count it out
+		return false
+	}
+	one := len(n.seeds) == 0 && len(n.ms.view.Members) == 1
+	for _, m := range n.ms.view.Members {
+		switch {
+		case m.Name == n.cfg.Me || m.State == Left:
+		case n.holds[m.Name]:
+			one = true
+		case m.State != Dead || now-max(m.Since, n.born) <= n.lease():
+			return false
+		}
+	}
+	return one
+}
+
+// Share is this node's part of a joint budget.
+func (n *Node) Share(now time.Duration) float64 {
+	if !n.Settled(now) {
+		return 0
+	}
+	// Members that the settings don't name share, too; those that left and all others know of do not. One that is
+	// dead may be cut off and go on sending, so it counts on.
+	return 1 / float64(max(1, max(len(n.ms.view.Members), n.cfg.Least)-len(n.Absent(now))))
+}
+
+// Roster makes members known by name that have not been heard: those of the settings. Until they are, they
+// count as there.
+func (n *Node) Roster(names []string, now time.Duration) {
+	for _, name := range names {
+		if _, known := n.ms.get(name); !known {
+			n.ms.apply(Update{Name: name, State: Alive}, now)
+		}
+	}
+}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -10,11 +10,11 @@
 // Datagram is the most bytes that the platform carries between ingresses in one message.
 const Datagram = 256
 
-// Fields of a message in protobuf's wire format: kind 1, seq 2, target 3, updates 4; of an update:
+// Fields of a message in protobuf's wire format: kind 1, seq 2, target 3, updates 4, sender 5, out 6; of an update:
 // name 1, incarnation 2, state 3.
 const (
-	fKind, fSeq, fTarget, fUpdate = 1, 2, 3, 4
-	uName, uInc, uState           = 1, 2, 3
+	fKind, fSeq, fTarget, fUpdate, fFrom, fOut = 1, 2, 3, 4, 5, 6
+	uName, uInc, uState                        = 1, 2, 3
 )
 
 // Append writes msg to b in at most Datagram bytes. Updates that do not fit are left out, the first ones
@@ -25,9 +25,18 @@
 	b = protowire.AppendVarint(b, uint64(msg.Kind))
 	b = protowire.AppendTag(b, fSeq, protowire.VarintType)
 	b = protowire.AppendVarint(b, msg.Seq)
-	if msg.Target != "" {
-		b = protowire.AppendTag(b, fTarget, protowire.BytesType)
-		b = protowire.AppendString(b, msg.Target)
+	if msg.Out != 0 {
+		b = protowire.AppendTag(b, fOut, protowire.Fixed64Type)
+		b = protowire.AppendFixed64(b, msg.Out)
+	}
+	for _, f := range []struct {
+		num  protowire.Number
+		name string
+	}{{fFrom, msg.From}, {fTarget, msg.Target}} {
+		if f.name != "" {
+			b = protowire.AppendTag(b, f.num, protowire.BytesType)
+			b = protowire.AppendString(b, f.name)
+		}
 	}
 	var u []byte
 	for _, up := range msg.Updates {
@@ -60,7 +69,7 @@
 		switch {
 		case num == fKind && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
-			if n < 0 || v > uint64(Sync) {
+			if n < 0 || v > uint64(Hello) {
 				return 0, fmt.Errorf("membership: field kind: %d not known", v)
 			}
 			msg.Kind = Kind(v)
@@ -69,6 +78,14 @@
 			v, n := protowire.ConsumeVarint(b)
 			msg.Seq = v
 			return n, nil
+		case num == fFrom && typ == protowire.BytesType:
+			v, n := protowire.ConsumeString(b)
+			msg.From = v
+			return n, nil
+		case num == fOut && typ == protowire.Fixed64Type:
+			v, n := protowire.ConsumeFixed64(b)
+			msg.Out = v
+			return n, nil
 		case num == fTarget && typ == protowire.BytesType:
 			v, n := protowire.ConsumeString(b)
 			msg.Target = v
@@ -84,6 +101,9 @@
 		}
 		return 0, nil
 	})
+	if err == nil && msg.From == "" {
+		err = errors.New("membership: field from: missing")
+	}
 	return msg, err
 }
 
--- a/internal/membership/wire_test.go
+++ b/internal/membership/wire_test.go
@@ -12,7 +12,8 @@
 // from the end.
 func TestAMessageRoundTripsWithinADatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		msg := Message{Kind: Kind(rapid.IntRange(0, int(Sync)).Draw(t, "kind")), Seq: rapid.Uint64().Draw(t, "seq"),
+		msg := Message{Kind: Kind(rapid.IntRange(0, int(Hello)).Draw(t, "kind")), From: "ingress-0",
+			Out: rapid.Uint64().Draw(t, "out"), Seq: rapid.Uint64().Draw(t, "seq"),
 			Target: rapid.StringMatching(`(n[0-9]{1,3})?`).Draw(t, "target")}
 		for i := range rapid.IntRange(0, 40).Draw(t, "updates") {
 			msg.Updates = append(msg.Updates, Update{Name: fmt.Sprintf("ingress-%d", i),
@@ -25,6 +26,8 @@
 		require.Equal(t, msg.Kind, got.Kind)
 		require.Equal(t, msg.Seq, got.Seq)
 		require.Equal(t, msg.Target, got.Target)
+		require.Equal(t, msg.From, got.From)
+		require.Equal(t, msg.Out, got.Out)
 		require.LessOrEqual(t, len(got.Updates), len(msg.Updates))
 		require.Equal(t, msg.Updates[:len(got.Updates)], got.Updates[:len(got.Updates):len(got.Updates)])
 		if len(msg.Updates) > 0 && len(got.Updates) == 0 {
@@ -35,7 +38,7 @@
 
 // Nothing read from the wire ends or stalls the reader; what is wrong is named.
 func FuzzParse(f *testing.F) {
-	f.Add(Append(nil, Message{Kind: PingReq, Seq: 7, Target: "n2", Updates: []Update{{"n1", 3, Suspect}}}))
+	f.Add(Append(nil, Message{Kind: PingReq, From: "n4", Seq: 7, Target: "n2", Updates: []Update{{"n1", 3, Suspect}}}))
 	f.Add([]byte{0x08, 0x09})
 	f.Add([]byte{0x22, 0x02, 0x10, 0x01})
 	f.Add(make([]byte, 300))
@@ -52,6 +55,8 @@
 	require.ErrorContains(t, err, "field kind")
 	_, err = Parse([]byte{0x22, 0x02, 0x10, 0x01})
 	require.ErrorContains(t, err, "updates.name")
+	_, err = Parse([]byte{0x08, 0x01})
+	require.ErrorContains(t, err, "field from")
 	_, err = Parse(make([]byte, 300))
 	require.ErrorIs(t, err, ErrTooLong)
 }
