Module: customers' doors and ceilings' parts by the gateways that are there

Need: ceilings and what stands for other doors went by the settings' number of gateways, whoever had left. Change: an event FleetChanged tells who is counted out and whether this gateway is sure of its own place; present, beside the policy files, counts the doors of a customer's set and this one's place among them. Parts still add up to the whole; an unsure gateway has none. Without the event nothing changes. Way not taken: a smaller Settings.Gateways, which would move every gateway's number and its hosts.

--- a/admission/ceiling.go
+++ b/admission/ceiling.go
@@ -22,13 +22,13 @@
 // traffic.
 func (g *Gateway) deal(c *customer, first int) {
 	p, unit, doors := c.plan, math.Max(1, float64(g.s.MaxUnits)), g.s.Gateways
-	whole := p.CeilingBurst + slackUsed*p.CeilingSlack
-	c.dealt, c.part, c.fill = true, whole/c.doors, p.CeilingRate/c.doors
+	whole, sure := p.CeilingBurst+slackUsed*p.CeilingSlack, g.fleet.sure()
+	c.dealt, c.part, c.fill = true, sure*whole/c.doors, sure*p.CeilingRate/c.doors
 	if c.part >= partLeast*unit || p.Rate <= 0 || !g.s.HasCounter {
 		return
 	}
 	c.shows = shownPart * whole / 2
-	own, place := whole-2*c.shows, (g.s.Me-first%doors+doors)%doors
+	own, place := sure*(whole-2*c.shows), g.fleet.place(g.s.Me, first, doors)
 	holders := math.Floor(math.Min(c.doors, own/unit))
 	c.part, c.fill = own/holders, (p.CeilingRate-c.shows*p.Rate/p.Burst)/holders
 	if float64((place+int(spread(c.id)*c.doors))%int(c.doors)) >= holders {
--- a/admission/follow.go
+++ b/admission/follow.go
@@ -18,6 +18,8 @@
 	switch ev := ev.(type) {
 	case SettingsChanged:
 		g.follow(ev.Settings)
+	case FleetChanged:
+		g.fleetChanged(ev)
 	case RequestWhole:
 		g.whole(ev.ID)
 	}
--- /dev/null
+++ b/admission/present.go
@@ -0,0 +1,60 @@
+package admission
+
+import "slices"
+
+// Which gateways there are, as the host's membership tells it. Nothing here decides: it counts. A host without a
+// membership tells nothing, and all that the settings name are there.
+
+// FleetChanged: these gateways, by number, no longer share what all have together; nobody can think otherwise.
+// While Unsure, this one may itself be counted out by others, and has no part of a ceiling.
+type FleetChanged struct {
+	Out    []int
+	Unsure bool
+}
+
+func (FleetChanged) isEvent() {}
+
+// present is what was last told.
+type present struct {
+	out    []int
+	unsure bool
+}
+
+func (g *Gateway) fleetChanged(ev FleetChanged) {
+	g.fleet = present{out: slices.Clone(ev.Out), unsure: ev.Unsure}
+	for _, c := range g.customers {
+		c.dealt = false // doors and parts are dealt anew with its next request
+	}
+}
+
+// doors is how many of the gateways from number first on, so many of all in a row, are there: 1 at least.
+func (p present) doors(n, first, all int) float64 {
+	n = max(1, min(n, all))
+	here := n
+	for _, o := range p.out {
+		if (o-first%all+all)%all < n {
+			here--
+		}
+	}
+	return float64(max(1, here))
+}
+
+// place is where gateway me stands in that row, among those that are there.
+func (p present) place(me, first, all int) int {
+	at := (me - first%all + all) % all
+	place := at
+	for _, o := range p.out {
+		if (o-first%all+all)%all < at {
+			place--
+		}
+	}
+	return place
+}
+
+// sure is 1, and 0 while others may count this gateway out.
+func (p present) sure() float64 {
+	if p.unsure {
+		return 0
+	}
+	return 1
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -45,10 +45,10 @@
 		}
 		c.gauge = newLedger("o"+key+".", gaugeSpan, phase)
 		c.demand = newLedger("d"+key+".", gaugeSpan, phase)
-		c.doors = math.Max(1, math.Min(float64(doors), float64(g.s.Gateways)))
 		g.customers[id] = c
 	}
 	if !c.dealt {
+		c.doors = g.fleet.doors(doors, first, g.s.Gateways)
 		g.deal(c, first)
 	}
 	c.used = g.now
--- a/admission/state.go
+++ b/admission/state.go
@@ -18,6 +18,7 @@
 	out     []Action
 	logs    int // lines for the operator so far
 
+	fleet     present
 	requests  map[uint64]*request
 	customers map[uint64]*customer
 	calls     map[string][]*call // out on the counter, by name, in order
