Membership in the daemon: datagrams between ingresses, the door's figures, members and leave

Need: the detector was a library; no ingress knew of another but by the settings' count. Design: net/peers reads datagrams on the loop (64 a turn, 400 a second, the rest dropped and counted) and drives the node; daemon/members.go names members by their numbers, tells the module who is counted out, logs each change of state. membership.enabled in the program's own settings turns it on; peer_listen and peers come from GW_CONFIG and are checked, errors name the field. SIGTERM keeps the place; leave, over the control socket, ends the process for good and then tells the others. In an upgrade the socket goes with the commit.

--- a/cmd/ferryfront/main.go
+++ b/cmd/ferryfront/main.go
@@ -42,7 +42,7 @@
 		p.usage = true
 		return err
 	})
-	root.AddCommand(p.serve(), p.upgrade(), p.status(), p.checkConfig(), p.config(), p.routes(), p.version())
+	root.AddCommand(p.serve(), p.upgrade(), p.status(), p.members(), p.leave(), p.checkConfig(), p.config(), p.routes(), p.version())
 	root.SetArgs(oldFlags(args))
 	// What cobra itself finds wrong comes before any command has run.
 	ran := false
--- a/cmd/ferryfront/upgrade.go
+++ b/cmd/ferryfront/upgrade.go
@@ -67,10 +67,43 @@
 }
 
 func (p *program) status() *cobra.Command {
-	c := &cobra.Command{Use: "status", Short: "Print what the running daemon is doing, as JSON", Args: cobra.NoArgs}
+	return p.ask("status", "Print what the running daemon is doing, as JSON")
+}
+
+func (p *program) members() *cobra.Command {
+	return p.ask("members", "Print which ingresses the running daemon holds to be there, as JSON")
+}
+
+func (p *program) leave() *cobra.Command {
+	c := &cobra.Command{Use: "leave", Args: cobra.NoArgs,
+		Short: "End the running daemon for good: the other ingresses share what was its part",
+		Long: `Ends the daemon in the orderly way of SIGTERM, and then has it tell the other ingresses that it left. They
+count it out of ceilings and quotas until it is started again. For an ingress that comes back use SIGTERM: it
+keeps its part. Exits with 1 where membership is not enabled or an upgrade is under way.`}
+	with := p.control(c)
+	run := func(ctx context.Context, socket string) error {
+		return daemon.Ask(ctx, socket, daemon.Command{Do: "leave"}, func(line []byte) error {
+			var end daemon.Progress
+			if err := json.Unmarshal(line, &end); err != nil {
+				return fmt.Errorf("leave: %w", err)
+			}
+			if !end.OK {
+				return fmt.Errorf("leave: %s", end.Text)
+			}
+			_, err := fmt.Fprintf(p.out, "process %d ends and leaves\n", end.Pid)
+			return err
+		})
+	}
+	c.RunE = func(*cobra.Command, []string) error { return with(run) }
+	return c
+}
+
+// ask is a command that prints what the daemon answers to it.
+func (p *program) ask(do, short string) *cobra.Command {
+	c := &cobra.Command{Use: do, Short: short, Args: cobra.NoArgs}
 	with := p.control(c)
 	run := func(ctx context.Context, socket string) error {
-		return daemon.Ask(ctx, socket, daemon.Command{Do: "status"}, func(line []byte) error {
+		return daemon.Ask(ctx, socket, daemon.Command{Do: do}, func(line []byte) error {
 			_, err := fmt.Fprintf(p.out, "%s\n", line)
 			return err
 		})
--- a/deploy/ferryfront.cue
+++ b/deploy/ferryfront.cue
@@ -12,3 +12,7 @@
 	freeze:    "1s"
 	probation: "2s"
 }
+
+// Which ingresses are there, found out by messages between them. Needs peer_listen and peers in GW_CONFIG, and all
+// ingresses of the fleet to have it.
+membership: enabled: false
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,7 +22,9 @@
 // Config is one ingress's configuration.
 type Config struct {
 	Name, Listen, Discovery, Counter string
-	Mgmt                             string // where operators ask, empty: nowhere
+	Mgmt                             string   // where operators ask, empty: nowhere
+	PeerListen                       string   // where messages of other ingresses come, empty: nowhere
+	Peers                            []string // where each ingress takes them, by its number
 	Seed                             uint64
 	Cores                            float64
 	Known                            discovery.List
@@ -43,7 +45,9 @@
 	for _, f := range []struct {
 		name     string
 		was, now any
-	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"mgmt", c.Mgmt, to.Mgmt}, {"seed", c.Seed, to.Seed}, {"limits.cores", c.Cores, to.Cores},
+	}{{"name", c.Name, to.Name}, {"listen", c.Listen, to.Listen}, {"mgmt", c.Mgmt, to.Mgmt},
+		{"peer_listen", c.PeerListen, to.PeerListen}, {"peers", c.Peers, to.Peers}, {"seed", c.Seed, to.Seed},
+		{"limits.cores", c.Cores, to.Cores},
 		{"limits", c.Limits, like(to.Limits, c.Limits)}} {
 		if !reflect.DeepEqual(f.was, f.now) {
 			names = append(names, f.name)
@@ -84,13 +88,14 @@
 	r := settings.NewReader(v, "")
 	r.Need("limits", "settings")
 	c := Config{
-		keys:      keys(v),
-		Name:      cmp.Or(getenv("GW_NAME"), r.Text("name")),
-		Listen:    cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
-		Discovery: cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
-		Mgmt:      cmp.Or(getenv("GW_MGMT"), r.Text("mgmt")),
-		Counter:   r.Text("counter"),
-		Cores:     r.Object("limits").Float("cores"),
+		keys:       keys(v),
+		Name:       cmp.Or(getenv("GW_NAME"), r.Text("name")),
+		Listen:     cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
+		Discovery:  cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
+		Mgmt:       cmp.Or(getenv("GW_MGMT"), r.Text("mgmt")),
+		Counter:    r.Text("counter"),
+		PeerListen: r.Text("peer_listen"), Peers: r.Texts("peers"),
+		Cores: r.Object("limits").Float("cores"),
 	}
 	set := r.Object("settings")
 	if err := r.Err(); err != nil {
@@ -122,10 +127,16 @@
 	if c.Limits, err = limits.For(site); err != nil {
 		return none, err
 	}
-	for _, a := range []struct {
+	type place struct {
 		field, addr string
 		must        bool
-	}{{"listen", c.Listen, true}, {"discovery", c.Discovery, true}, {"counter", c.Counter, c.Settings.HasCounter}, {"mgmt", c.Mgmt, false}} {
+	}
+	places := []place{{"listen", c.Listen, true}, {"discovery", c.Discovery, true},
+		{"counter", c.Counter, c.Settings.HasCounter}, {"mgmt", c.Mgmt, false}, {"peer_listen", c.PeerListen, false}}
+	for i, addr := range c.Peers {
+		places = append(places, place{fmt.Sprintf("peers[%d]", i), addr, false})
+	}
+	for _, a := range places {
 		if a.addr == "" && !a.must {
 			continue
 		}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,10 @@
 		"limits.sockets is 10":          {`1024`, `10`},
 		"settings.me is missing":        {`"me":1,`, ``},
 		"settings.me is 7, need 0 to 2": {`"me":1`, `"me":7`},
+		"peer_listen: ":                 {`"seed"`, `"peer_listen":"here","seed"`},
+		"peers[1]: ":                    {`"seed"`, `"peers":["127.0.0.5:7946","there"],"seed"`},
+		"peers holds what is no text":   {`"seed"`, `"peers":[7946],"seed"`},
+		"peers is no list":              {`"seed"`, `"peers":"127.0.0.5:7946","seed"`},
 		"known.servers[0].id is missi":  {`"id":"s-1",`, ``},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)), env(nil))
--- a/internal/core/open.go
+++ b/internal/core/open.go
@@ -53,6 +53,9 @@
 	c.events = append(c.events, admission.SettingsChanged{Settings: s})
 }
 
+// Tell hands the module an event that is of no stream, in order with the others.
+func (c *Core) Tell(ev admission.Event) { c.events = append(c.events, ev) }
+
 // Windows are the times, by class, for which a repeat of a key is recognised; 0 where a class has no keys.
 func Windows(classes []admission.Class) (windows []time.Duration) {
 	for _, class := range classes {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,7 +19,7 @@
 
 // Command is what a client of the control socket asks for.
 type Command struct {
-	Do string `json:"do"` // upgrade or status
+	Do string `json:"do"` // upgrade, status, members or leave
 }
 
 // Status answers "status".
@@ -35,6 +35,26 @@
 	Error       string `json:"error,omitempty"`
 }
 
+// Members answers "members": the view of one ingress, and what of joint budgets it takes.
+type Members struct {
+	Name     string   `json:"name"`
+	Enabled  bool     `json:"enabled"`
+	Version  uint64   `json:"version"`
+	Members  []Member `json:"members"`
+	Settled  bool     `json:"settled"`     // it takes its share of ceilings
+	Absent   []int    `json:"counted_out"` // ingresses that left for good, whose shares the others have
+	Sent     uint64   `json:"sent"`
+	Received uint64   `json:"received"`
+	Dropped  uint64   `json:"dropped"`
+}
+
+// Member is one ingress as another holds it.
+type Member struct {
+	Name        string `json:"name"` // its number
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
 // control is the socket's server. Each client has a goroutine of its own.
 type control struct {
 	d     *Daemon
@@ -142,6 +162,12 @@
 	switch cmd.Do {
 	case "status":
 		_ = out.Encode(c.status())
+	case "members":
+		m := Members{Members: []Member{}, Absent: []int{}}
+		_ = out.Encode(onLoop(c.d, m, func() Members { return c.d.view(m) }))
+	case "leave":
+		why := onLoop(c.d, "the daemon does not answer", c.d.leave)
+		_ = out.Encode(Progress{Text: why, Done: true, OK: why == "", Pid: os.Getpid()})
 	case "upgrade":
 		news := make(chan Progress, 16)
 		c.d.loop.Post(func() {
@@ -169,22 +195,27 @@
 }
 
 func (c *control) status() Status {
-	ch := make(chan Status, 1)
 	d := c.d
-	d.loop.Post(func() {
+	return onLoop(d, Status{Error: "the daemon does not answer"}, func() Status {
 		s := Status{Name: d.cfg.Name, Version: d.o.Version, Pid: os.Getpid(), Phase: d.pred.machine.State.String(),
 			Streams: d.core.Open(), Connections: d.server.Connections(), Upstreams: d.hosts.Connections(),
 			Customers: d.module.Known()}
 		if d.trial() {
 			s.Phase = d.succ.machine.State.String()
 		}
-		ch <- s
+		return s
 	})
+}
+
+// onLoop has the loop's goroutine work something out; silent is returned where that takes too long.
+func onLoop[T any](d *Daemon, silent T, work func() T) T {
+	ch := make(chan T, 1)
+	d.loop.Post(func() { ch <- work() })
 	select {
-	case s := <-ch:
-		return s
+	case t := <-ch:
+		return t
 	case <-time.After(commandTime):
-		return Status{Error: "the daemon does not answer"}
+		return silent
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	Version   string
 	Log       *slog.Logger
 	Command   []string              // what starts the next process of an upgrade: the binary's path, its arguments
+	Members   bool                  // ingresses tell each other who is there
 	Limit     func(*limits.Limits)  // changes bounds as the program's own settings say, nil: none
 	Signals   <-chan os.Signal      // SIGTERM and SIGINT end, SIGHUP reloads, SIGUSR2 upgrades
 	Notify    func(state ...string) // tells the service manager, see sd_notify(3)
@@ -113,11 +114,14 @@
 	fronts    []opening
 	control   *control
 	door      *mgmt.Door // nil where operators have none
+	members   *members   // nil where ingresses do not talk
 	figures   figures.Figures
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
 	draining  bool
 	drained   bool // no new connections either
+	leaves    bool // the planned end is for good
+	leaving   bool // nothing is open any more
 	fault     error
 
 	pred *predecessor // our part in an upgrade that replaces us
@@ -150,7 +154,7 @@
 	for _, f := range d.fronts {
 		f.ready()
 	}
-	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
+	if err := errors.Join(d.openControl(), d.openDoor(), d.openMembers()); err != nil {
 		return err
 	}
 	d.await()
@@ -316,9 +320,10 @@
 	}
 	next := d.core.Turn(now)
 	d.pred.turn(now)
-	if d.drained && d.core.Open() == 0 && d.server.Connections() == 0 {
+	if d.drained && d.core.Open() == 0 && d.server.Connections() == 0 && !d.leaving {
+		d.leaving = true
 		d.log.Info("drained")
-		d.loop.Stop()
+		d.sayLeave(d.loop.Stop)
 	}
 	return next
 }
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -38,6 +38,10 @@
 // Metrics appends the figures as they stand.
 func (o office) Metrics(room []byte) []byte {
 	d := o.d
-	return d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
+	room = d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
+	if d.members == nil {
+		return room
+	}
+	return figures.AppendFleet(room, d.members.present(d.loop.Now()))
 }
--- /dev/null
+++ b/internal/daemon/members.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/figures"
+	"ferryfront.example/ferryfront/internal/membership"
+	"ferryfront.example/ferryfront/internal/net/peers"
+)
+
+// members is the daemon's part in the membership: members are named by their numbers among the settings' gateways,
+// and what of joint budgets is ours goes to the module as one event when it changes.
+type members struct {
+	*peers.Peers
+	told   admission.FleetChanged
+	states map[string]membership.State // as last logged
+}
+
+// openMembers joins the others, where the program's settings say so.
+func (d *Daemon) openMembers() error {
+	cfg, lim := d.cfg, d.cfg.Limits
+	switch {
+	case !d.o.Members || d.members != nil:
+		return nil
+	case cfg.PeerListen == "":
+		return errors.New("peer_listen is missing, and membership is enabled")
+	case len(cfg.Peers) < cfg.Settings.Gateways:
+		return fmt.Errorf("peers holds %d addresses, and there are %d ingresses", len(cfg.Peers), cfg.Settings.Gateways)
+	}
+	me, now := cfg.Settings.Me, d.loop.Now()
+	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged}
+	var roster []string
+	for i, addr := range cfg.Peers {
+		if i == me || addr == "" {
+			continue
+		}
+		c.Addrs[strconv.Itoa(i)] = addr
+		if i < cfg.Settings.Gateways {
+			roster = append(roster, strconv.Itoa(i))
+		}
+	}
+	// A later life must have the higher incarnation; where the clock was set back, the others' word raises it.
+	node := membership.New(membership.Config{Me: strconv.Itoa(me), Incarnation: uint64(max(1, time.Now().UnixMilli())),
+		Seed: cfg.Seed + uint64(me), Period: lim.MemberPeriod, AckWithin: lim.MemberAck, SuspectFor: lim.MemberSuspect,
+		Helpers: lim.MemberHelpers, Carry: lim.MemberCarry, Least: cfg.Settings.Gateways}, now)
+	node.Roster(roster, now)
+	m := &members{states: map[string]membership.State{}}
+	d.members = m
+	var err error
+	if m.Peers, err = peers.Open(d.loop, lim, d.log, node, c); err != nil {
+		d.members = nil
+		return err
+	}
+	d.membersChanged(now)
+	return nil
+}
+
+// openMembersAgain is for a process that takes another's place: it serves whether or not it can talk.
+func (d *Daemon) openMembersAgain() {
+	if err := d.openMembers(); err != nil {
+		d.log.Error("membership not joined", "error", err)
+		d.core.Tell(admission.FleetChanged{Unsure: true})
+	}
+}
+
+// closeMembers says and hears no more.
+func (d *Daemon) closeMembers() {
+	if d.members != nil {
+		d.members.Close()
+		d.members = nil
+	}
+}
+
+// membersChanged tells the module of a change in what is ours, and the operator of each member's change of state.
+func (d *Daemon) membersChanged(now time.Duration) {
+	m := d.members
+	if m == nil || m.Peers == nil {
+		return
+	}
+	ev := admission.FleetChanged{Unsure: !m.Node().Settled(now)}
+	for _, name := range m.Node().Absent(now) {
+		if i, err := strconv.Atoi(name); err == nil && i < d.cfg.Settings.Gateways {
+			ev.Out = append(ev.Out, i)
+		}
+	}
+	if ev.Unsure != m.told.Unsure || !slices.Equal(ev.Out, m.told.Out) {
+		m.told = ev
+		d.core.Tell(ev)
+		d.log.Info("share of joint budgets", "settled", !ev.Unsure, "counted_out", fmt.Sprint(ev.Out))
+	}
+	for _, o := range m.Node().View().Members {
+		if was := m.states[o.Name]; was != o.State {
+			m.states[o.Name] = o.State
+			d.log.Info("member", "member", o.Name, "state", o.State.String(), "was", was.String(), "incarnation", o.Incarnation)
+		}
+	}
+}
+
+// present is what the door tells.
+func (m *members) present(now time.Duration) figures.Fleet {
+	v, c := m.Node().View(), m.Counts()
+	f := figures.Fleet{Version: v.Version, Absent: len(m.told.Out), Settled: m.Node().Settled(now), Sent: c.Sent, Got: c.Got,
+		Dropped: c.Dropped}
+	for _, s := range membership.States {
+		f.States = append(f.States, figures.State{Name: s.String(), N: v.Count(s)})
+	}
+	return f
+}
+
+// view fills in what the control socket tells.
+func (d *Daemon) view(to Members) Members {
+	to.Name = d.cfg.Name
+	m := d.members
+	if m == nil {
+		return to
+	}
+	v, c := m.Node().View(), m.Counts()
+	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
+	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
+	for _, o := range v.Members {
+		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
+	}
+	return to
+}
+
+// Leaving says so this often, so far apart: each time some hear it, and they tell the others.
+const (
+	leaveTimes = 5
+	leaveEvery = 60 * time.Millisecond
+)
+
+// leave begins a planned end that is for good: the others share what was ours.
+func (d *Daemon) leave() string {
+	switch {
+	case d.members == nil:
+		return "membership is not enabled"
+	case d.pred.machine.UnderWay() || d.trial():
+		return "an upgrade is under way"
+	}
+	d.leaves = true
+	d.drain()
+	return ""
+}
+
+// sayLeave tells the others, once nothing is open here any more, and then goes on to the end.
+func (d *Daemon) sayLeave(end func()) {
+	if !d.leaves || d.members == nil {
+		end()
+		return
+	}
+	d.log.Info("left")
+	for i := range leaveTimes {
+		d.loop.After(time.Duration(i)*leaveEvery, d.members.Leave)
+	}
+	d.loop.After(leaveTimes*leaveEvery, end)
+}
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -375,6 +375,7 @@
 func (p *predecessor) commit() {
 	d := p.d
 	d.dismiss()
+	d.closeMembers()       // the new process goes on under our name
 	if !p.machine.Beside { // else it has a door of its own, and ours still tells of this process
 		d.door.Close()
 		d.door = nil
@@ -416,6 +417,7 @@
 	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
+	d.openMembersAgain()
 	d.o.Notify("MAINPID=" + strconv.Itoa(os.Getpid()))
 	d.log.Error("listeners taken back", "cause", p.machine.Failure)
 }
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -58,6 +58,7 @@
 	d.cfg.Settings, d.cfg.Limits.DrainMost = to.Settings, to.Limits.DrainMost
 	d.nameClasses()
 	d.core.Follow(d.loop.Now(), to.Settings)
+	d.membersChanged(d.loop.Now())
 	for _, f := range d.fronts {
 		f.follow(to.Settings)
 	}
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -306,6 +306,7 @@
 	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
+	d.openMembersAgain()
 	d.await()
 	d.log.Info("taken over", "version", d.o.Version, "from", s.welcome.GetVersion(), "listen", d.cfg.Listen,
 		"customers", s.customers, "streams", d.core.Theirs(), "clock", d.loop.Offset())
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -56,6 +56,39 @@
 	return line(b, "reconfig_failed", f.ReconfigFailed)
 }
 
+// Fleet is what an ingress holds of the others, where they talk.
+type Fleet struct {
+	Version            uint64 // of its view
+	States             []State
+	Absent             int    // members counted out of joint budgets
+	Settled            bool   // it takes its share of ceilings
+	Sent, Got, Dropped uint64 // messages
+}
+
+// State counts the members in a state.
+type State struct {
+	Name string
+	N    int
+}
+
+// AppendFleet writes them in the same form.
+func AppendFleet(b []byte, f Fleet) []byte {
+	b = line(b, "view_version", f.Version)
+	for _, s := range f.States {
+		b = append(append(append(b, `app_members{state="`...), s.Name...), `"} `...)
+		b = append(strconv.AppendInt(b, int64(s.N), 10), '\n')
+	}
+	b = line(b, "members_absent", uint64(f.Absent))
+	settled := uint64(0)
+	if f.Settled {
+		settled = 1
+	}
+	b = line(b, "member_settled", settled)
+	b = line(b, "peer_messages_sent", f.Sent)
+	b = line(b, "peer_messages_received", f.Got)
+	return line(b, "peer_messages_dropped", f.Dropped)
+}
+
 func line(b []byte, name string, n uint64) []byte {
 	b = append(append(append(b, "app_"...), name...), ' ')
 	return append(strconv.AppendUint(b, n, 10), '\n')
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -27,3 +27,16 @@
 app_reconfig_failed 2
 `, string(f.Append(nil, Present{InFlight: 14, Listed: 12, Down: 2})))
 }
+
+func TestAppendFleet(t *testing.T) {
+	require.Equal(t, `app_view_version 7
+app_members{state="alive"} 4
+app_members{state="dead"} 1
+app_members_absent 2
+app_member_settled 1
+app_peer_messages_sent 30
+app_peer_messages_received 20
+app_peer_messages_dropped 10
+`, string(AppendFleet(nil, Fleet{Version: 7, States: []State{{"alive", 4}, {"dead", 1}}, Absent: 2, Settled: true, Sent: 30,
+		Got: 20, Dropped: 10})))
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -68,6 +68,15 @@
 	HandoverQueue int           // bytes of messages that may wait, beyond which no more customers are copied
 	CounterShared int           // counter connections of the new process while the old one may have its own
 
+	// Of the membership, where it is on.
+	MemberPeriod    time.Duration // between probes; one is out at a time
+	MemberAck       time.Duration // for a probe's answer before others are asked to help
+	MemberSuspect   time.Duration // after which a suspect that was not heard is dead
+	MemberHelpers   int           // asked to probe for an ingress
+	MemberCarry     int           // updates on a message
+	Datagrams       int           // read from peers in a turn of the loop
+	DatagramsSecond int           // and taken in in a second: the rest is dropped
+
 	TelemetryQueue int           // records, and spans, that may wait to be exported
 	TelemetryEvery time.Duration // between exports
 }
@@ -146,6 +155,8 @@
 		HelloMost:     2 * time.Second, PrepareMost: 4 * time.Second, CopyMost: 20 * time.Second, FreezeMost: time.Second,
 		Probation: 2 * time.Second, HandoverBytes: 16 << 20, HandoverQueue: 256 << 10, CounterShared: 8,
 		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
+		MemberPeriod: 300 * time.Millisecond, MemberAck: 100 * time.Millisecond, MemberSuspect: 1000 * time.Millisecond,
+		MemberHelpers: 2, MemberCarry: 6, Datagrams: 64, DatagramsSecond: 400,
 	}
 	// Clients may come before a process that took a dead one's place is up, and what it would have been told had it
 	// asked at once counts as told: later than the grace it would send to hosts that have long drained.
--- /dev/null
+++ b/internal/net/loop/datagram.go
@@ -0,0 +1,46 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+
+	"golang.org/x/sys/unix"
+)
+
+// ListenDatagrams opens a socket for datagrams at an address.
+func ListenDatagrams(addr string) (int, error) {
+	sa, family, err := address(addr)
+	if err != nil {
+		return -1, err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("datagrams at %s: %w", addr, err)
+	}
+	if err := unix.Bind(fd, sa); err != nil {
+		return -1, fmt.Errorf("datagrams at %s: %w", addr, errors.Join(err, unix.Close(fd)))
+	}
+	return fd, nil
+}
+
+// Receive reads one datagram; ErrAgain when there is none. Of one longer than b the rest is dropped.
+func Receive(fd int, b []byte) (int, error) {
+	for {
+		n, _, err := unix.Recvfrom(fd, b, 0)
+		if !errors.Is(err, unix.EINTR) {
+			return n, err
+		}
+	}
+}
+
+// To is an address that datagrams are sent to.
+type To struct{ sa unix.Sockaddr }
+
+// ParseTo reads one, of the form ip:port.
+func ParseTo(addr string) (To, error) {
+	sa, _, err := address(addr)
+	return To{sa}, err
+}
+
+// SendTo sends one datagram. One that there is no room for is lost, as any may be.
+func SendTo(fd int, b []byte, to To) error { return unix.Sendto(fd, b, 0, to.sa) }
--- /dev/null
+++ b/internal/net/peers/peers.go
@@ -0,0 +1,157 @@
+// Package peers carries the messages of the membership between ingresses: datagrams of at most 256 bytes, which
+// may be lost or late. It decides nothing: what comes in goes to the node, and what that wants sent goes out.
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/membership"
+	"ferryfront.example/ferryfront/internal/net/loop"
+)
+
+// Counts are of messages, from the start of the process.
+type Counts struct {
+	Sent    uint64 // handed to the network
+	Got     uint64 // read and understood
+	Dropped uint64 // not read, for want of sense or over the bound a second; not sent, for want of an address or room
+}
+
+// Peers is the transport of one member, and drives its node.
+type Peers struct {
+	loop   *loop.Loop
+	lim    limits.Limits
+	log    *slog.Logger
+	node   *membership.Node
+	src    *loop.Source
+	addrs  map[string]loop.To
+	timer  *loop.Timer
+	every  time.Duration
+	counts Counts
+	told   time.Duration
+	second time.Duration // that is being counted,
+	taken  int           // and what was taken in of it
+	seen   uint64        // version of the view as last told
+	change func(now time.Duration)
+}
+
+// Config says where a member is and where the others are, by name. Every is between ticks of the node; Change is
+// called when the view may have changed what it says, and on each tick.
+type Config struct {
+	Listen string
+	Addrs  map[string]string
+	Every  time.Duration
+	Change func(now time.Duration)
+}
+
+// Open begins to listen, and joins by all the others.
+func Open(l *loop.Loop, lim limits.Limits, log *slog.Logger, node *membership.Node, c Config) (*Peers, error) {
+	p := &Peers{loop: l, lim: lim, log: log, node: node, addrs: map[string]loop.To{}, every: c.Every, change: c.Change}
+	var seeds []string
+	for name, addr := range c.Addrs {
+		to, err := loop.ParseTo(addr)
+		if err != nil {
+			return nil, fmt.Errorf("peers.%s: %w", name, err)
+		}
+		p.addrs[name] = to
+		seeds = append(seeds, name)
+	}
+	fd, err := loop.ListenDatagrams(c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peer_listen: %w", err)
+	}
+	if p.src, err = l.Watch(fd, loop.In, p); err != nil {
+		loop.CloseFD(fd)
+		return nil, err
+	}
+	p.handle(membership.Join{Seeds: seeds})
+	p.tick()
+	return p, nil
+}
+
+// Counts tells what went and came so far.
+func (p *Peers) Counts() Counts { return p.counts }
+
+// Node is the member's failure detector.
+func (p *Peers) Node() *membership.Node { return p.node }
+
+// Leave tells the others, once more each time it is called, that this member leaves for good.
+func (p *Peers) Leave() { p.handle(membership.Leave{}) }
+
+// Close says and hears no more. It is safe on nil.
+func (p *Peers) Close() {
+	if p != nil {
+		p.timer.Stop()
+		p.src.Close()
+	}
+}
+
+func (p *Peers) tick() {
+	p.timer = p.loop.After(p.every, p.tick)
+	p.handle(membership.Tick{})
+	p.change(p.loop.Now())
+}
+
+// Ready reads what has come, so many datagrams a turn: the others have theirs. Beyond the bound a second they
+// are read and dropped, so that a flood costs little and old news does not queue before the new.
+func (p *Peers) Ready(uint32) {
+	now := p.loop.Now()
+	if s := now.Truncate(time.Second); s != p.second {
+		p.second, p.taken = s, 0
+	}
+	buf := p.loop.Buf()[:membership.Datagram+1]
+	for range p.lim.Datagrams {
+		n, err := loop.Receive(p.src.FD(), buf)
+		if errors.Is(err, loop.ErrAgain) {
+			break
+		}
+		if err != nil { // of an earlier send, such as nobody listening there
+			continue
+		}
+		if p.taken >= p.lim.DatagramsSecond {
+			p.counts.Dropped++
+			continue
+		}
+		msg, err := membership.Parse(buf[:n])
+		if err != nil {
+			p.drop("peer message not read", err)
+			continue
+		}
+		p.taken++
+		p.counts.Got++
+		p.handle(membership.Received{Msg: msg})
+	}
+	if v := p.node.View().Version; v != p.seen {
+		p.seen = v
+		p.change(now)
+	}
+}
+
+func (p *Peers) handle(ev membership.Event) {
+	for _, s := range p.node.Handle(p.loop.Now(), ev) {
+		to, ok := p.addrs[s.To]
+		if !ok {
+			p.drop("peer message not sent", fmt.Errorf("no address of %s", s.To))
+			continue
+		}
+		if err := loop.SendTo(p.src.FD(), membership.Append(nil, s.Msg), to); err != nil {
+			p.counts.Dropped++ // as if lost on its way
+			continue
+		}
+		p.counts.Sent++
+	}
+}
+
+// logEvery: messages that can't be read or sent are told of so often.
+const logEvery = 10 * time.Second
+
+func (p *Peers) drop(what string, cause error) {
+	p.counts.Dropped++
+	if now := p.loop.Now(); p.told == 0 || now-p.told > logEvery {
+		p.told = now
+		p.log.Warn(what, "cause", cause)
+	}
+}
--- a/internal/own/own.go
+++ b/internal/own/own.go
@@ -33,6 +33,11 @@
 		Endpoint, Every string
 		Queue           int
 	}
+	Membership struct {
+		Enabled              bool
+		Period, Ack, Suspect string
+		Helpers              int
+	}
 	Handover struct{ Hello, Prepare, Copy, Freeze, Probation string }
 
 	path string
@@ -125,7 +130,9 @@
 	for _, f := range []struct {
 		name, text string
 		to         *time.Duration
-	}{{"telemetry.every", s.Telemetry.Every, &l.TelemetryEvery}, {"handover.hello", s.Handover.Hello, &l.HelloMost},
+	}{{"telemetry.every", s.Telemetry.Every, &l.TelemetryEvery},
+		{"membership.period", s.Membership.Period, &l.MemberPeriod}, {"membership.ack", s.Membership.Ack, &l.MemberAck},
+		{"membership.suspect", s.Membership.Suspect, &l.MemberSuspect}, {"handover.hello", s.Handover.Hello, &l.HelloMost},
 		{"handover.prepare", s.Handover.Prepare, &l.PrepareMost}, {"handover.copy", s.Handover.Copy, &l.CopyMost},
 		{"handover.freeze", s.Handover.Freeze, &l.FreezeMost}, {"handover.probation", s.Handover.Probation, &l.Probation}} {
 		d, err := time.ParseDuration(f.text)
@@ -134,6 +141,9 @@
 		}
 		*f.to = d
 	}
-	l.TelemetryQueue = s.Telemetry.Queue
+	l.TelemetryQueue, l.MemberHelpers = s.Telemetry.Queue, s.Membership.Helpers
+	if l.MemberAck > l.MemberPeriod {
+		return fmt.Errorf("%s: membership.ack: %q is longer than membership.period", filepath.Clean(s.path), s.Membership.Ack)
+	}
 	return nil
 }
--- /dev/null
+++ b/internal/own/own_test.go
@@ -0,0 +1,58 @@
+package own
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/limits"
+)
+
+func file(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "own.cue")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// Ingresses talk to each other only where the file says so; its times become bounds.
+func TestMembershipIsOffUnlessEnabled(t *testing.T) {
+	s, err := Read(file(t, `log: level: "warn"`))
+	require.NoError(t, err)
+	require.False(t, s.Membership.Enabled)
+	s, err = Read(file(t, `membership: {enabled: true, period: "1s", ack: "250ms", helpers: 4}`))
+	require.NoError(t, err)
+	require.True(t, s.Membership.Enabled)
+	var l limits.Limits
+	require.NoError(t, s.Limit(&l))
+	require.Equal(t, []any{time.Second, 250 * time.Millisecond, time.Second, 4},
+		[]any{l.MemberPeriod, l.MemberAck, l.MemberSuspect, l.MemberHelpers})
+}
+
+// The defaults of the file are those of a start without one.
+func TestMembershipDefaultsAreTheProgramsOwn(t *testing.T) {
+	s, err := Read(file(t, ``))
+	require.NoError(t, err)
+	want, err := limits.For(limits.Site{Sockets: 1024})
+	require.NoError(t, err)
+	got := want
+	require.NoError(t, s.Limit(&got))
+	require.Equal(t, want, got)
+}
+
+func TestErrorsNameFileLineAndField(t *testing.T) {
+	for text, says := range map[string]string{
+		"membership: enabled: 1":            ":1: membership.enabled",
+		"log: {}\nmembership: {helpers: 9}": ":2: membership.helpers",
+		`membership: period: "soon"`:        ":1: membership.period",
+		`membership: {on: true}`:            ":1: membership.on",
+		`membership: {period: "50ms"}`:      `membership.ack: "100ms" is longer than membership.period`,
+	} {
+		path := file(t, text)
+		_, err := Read(path)
+		require.ErrorContains(t, err, path)
+		require.ErrorContains(t, err, says)
+	}
+}
--- a/internal/own/schema.cue
+++ b/internal/own/schema.cue
@@ -22,6 +22,19 @@
 		queue: int & >=1 & <=1000000 | *2048
 	}
 
+	// Which ingresses are there, found out by messages between them: peer_listen and peers of GW_CONFIG. All
+	// ingresses of a fleet have the same times.
+	membership: {
+		enabled: bool | *false
+		// Between probes of one ingress.
+		period: #Time | *"300ms"
+		// For a probe's answer, before others are asked to help.
+		ack: #Time | *"100ms"
+		// After which a suspect that was not heard is dead.
+		suspect: #Time | *"1s"
+		helpers: int & >=0 & <=8 | *2
+	}
+
 	// The bounds of an upgrade, by phase.
 	handover: {
 		hello:     #Time | *"2s"
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -183,6 +183,19 @@
 	return list
 }
 
+// Texts reads an array of strings; absent is empty.
+func (r Reader) Texts(key string) []string {
+	var list []string
+	for _, v := range r.array(key) {
+		b, err := v.StringBytes()
+		if err != nil {
+			r.fail(key, "holds what is no text")
+		}
+		list = append(list, string(b))
+	}
+	return list
+}
+
 func (r Reader) array(key string) []*fastjson.Value {
 	v := r.get(key)
 	if v == nil {
@@ -232,12 +245,8 @@
 	if s.Me < 0 || s.Me >= s.Gateways {
 		p.fail("me", "is %d, need 0 to %d", s.Me, s.Gateways-1)
 	}
-	for _, n := range stats.array("names") {
-		b, err := n.StringBytes()
-		if err != nil {
-			stats.fail("names", "holds what is no text")
-		}
-		s.ReportNames = append(s.ReportNames, cmp.Or(reports[string(b)], string(b)))
+	for _, name := range stats.Texts("names") {
+		s.ReportNames = append(s.ReportNames, cmp.Or(reports[name], name))
 	}
 	for _, c := range p.List("classes") {
 		effect, ok := effects[c.Text("effect")]
