ferrylab chaos: a fleet of real processes under load, with a fault between its members

Need: membership has to be shown by several processes and faults between them. Design: standin.Links relays the datagrams of each ordered pair and cuts, loses or delays them; lab.Chaos starts the fleet, the load (30% must never run twice, two dealers over their ceiling), a cold host with the fault and a drain in the middle, and judges logs and record. Faults: kill, pause, partition, oneway, loss, delay, flap. Way not taken: a proxy of one socket for all pairs, which could not tell senders apart. Process tests with three real processes: kill, pause, split, one-way loss, leave and return, planned restart.

--- /dev/null
+++ b/internal/lab/chaos.go
@@ -0,0 +1,357 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"ferryfront.example/ferryfront/internal/standin"
+)
+
+// Chaos is a fleet of real processes that know each other, under load, with a fault between them.
+type Chaos struct {
+	Setup
+	Members int
+	Fault   string
+	Length  time.Duration // of the fault; 0: its own
+	Rate    float64       // requests a second over all, beside the dealers with a ceiling; 0: 120
+}
+
+// ChaosReport is what came of it.
+type ChaosReport struct {
+	Members       int      `json:"members"`
+	Fault         string   `json:"fault"`
+	Seconds       float64  `json:"seconds"`    // of the fault
+	DetectMS      *float64 `json:"detect_ms"`  // from it until all that should hold who is gone dead: p99; null: nobody is
+	HealMS        float64  `json:"heal_ms"`    // from its end until all views agree
+	FalseDead     int      `json:"false_dead"` // declared dead while there and not cut off
+	CeilingBreaks int      `json:"ceiling_breaks"`
+	OverrunHosts  int      `json:"overrun_hosts"`
+	Lost          int      `json:"lost"`         // taken, and not answered once by a member that ran
+	Doubled       int      `json:"doubled"`      // work run twice that must not be
+	LateSends     int      `json:"late_sends"`   // to hosts that drain
+	ServedShare   float64  `json:"served_share"` // of what is asked within quotas at members that ran
+	Requests      int      `json:"requests"`
+	MessagesS     float64  `json:"messages_s"`    // sent by a member a second
+	DownRequests  int      `json:"down_requests"` // that met a member which was down
+	Faults        []string `json:"faults,omitempty"`
+	Error         string   `json:"error,omitempty"`
+}
+
+// Failed tells whether a rule was broken or the experiment did not go as it must.
+func (r ChaosReport) Failed() bool {
+	return r.Error != "" || r.CeilingBreaks+r.OverrunHosts+r.Lost+r.Doubled+r.LateSends > 0 ||
+		(r.Fault == "loss" || r.Fault == "delay") && r.FalseDead > 0 || r.Fault == "kill" && *r.DetectMS >= detectMost
+}
+
+// detectMost is the stated time, in ms, in which a killed member is dead in every view.
+const detectMost = 3000
+
+// disorder is one kind of fault. begin starts it and returns what ends it; gone tells whom an observer should find
+// dead meanwhile.
+type disorder struct {
+	name, about string
+	length      time.Duration
+	begin       func(*swarm) (end func())
+	gone        func(s *swarm, observer, member int) bool
+}
+
+// Disorders names the faults, with what each does.
+func Disorders() (names, abouts []string) {
+	for _, d := range disorders() {
+		names, abouts = append(names, d.name), append(abouts, d.about)
+	}
+	return names, abouts
+}
+
+func disorders() []disorder {
+	half := func(s *swarm, a, b int) bool { return a < s.n/2 != (b < s.n/2) }
+	return []disorder{
+		{"kill", "SIGKILL of a third", 6 * time.Second, func(s *swarm) func() {
+			for i := range s.third() {
+				s.down(i)
+				s.world.Ingresses[i].Kill()
+			}
+			return func() {}
+		}, func(s *swarm, o, m int) bool { return o >= s.third() && m < s.third() }},
+		{"pause", "SIGSTOP of one, then SIGCONT", 5 * time.Second, func(s *swarm) func() {
+			s.signal(0, syscall.SIGSTOP)
+			return func() { s.signal(0, syscall.SIGCONT) }
+		}, func(_ *swarm, o, m int) bool { return o != 0 && m == 0 }},
+		{"partition", "two halves, healed", 10 * time.Second, func(s *swarm) func() {
+			s.cut = func(a, b int) bool { return half(s, a, b) }
+			s.links.Set(s.cut, 0, 0)
+			return s.heal
+		}, half},
+		{"oneway", "the first hears the second, the second not the first", 8 * time.Second, func(s *swarm) func() {
+			s.links.Set(func(from, to int) bool { return from == 0 && to == 1 }, 0, 0)
+			return s.heal
+		}, nil},
+		{"loss", "30% of the messages dropped", 10 * time.Second, func(s *swarm) func() {
+			s.links.Set(nil, 0.3, 0)
+			return s.heal
+		}, nil},
+		{"delay", "200 ms added to each message", 10 * time.Second, func(s *swarm) func() {
+			s.links.Set(nil, 0, 200*time.Millisecond)
+			return s.heal
+		}, nil},
+		{"flap", "one stopped and going on, a second each", 8 * time.Second, func(s *swarm) func() {
+			stop, done := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(done)
+				for {
+					for _, sig := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+						s.signal(0, sig)
+						select {
+						case <-time.After(time.Second):
+						case <-stop:
+							s.signal(0, syscall.SIGCONT)
+							return
+						}
+					}
+				}
+			}()
+			return func() { close(stop); <-done }
+		}, nil},
+	}
+}
+
+// swarm is the fleet of one experiment.
+type swarm struct {
+	Setup
+	n       int
+	world   *standin.World
+	links   *standin.Links
+	cut     func(a, b int) bool // the split that there is, nil: none
+	clients []*standin.Clients
+
+	mu     sync.Mutex
+	spells []spell
+}
+
+// spell is a time for which a member was down.
+type spell struct {
+	member   int
+	from, to time.Time // to is zero while it lasts
+}
+
+func (s *swarm) third() int { return max(1, s.n/3) }
+
+func (s *swarm) heal() { s.links.Set(nil, 0, 0) }
+
+func (s *swarm) down(member int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spells = append(s.spells, spell{member: member, from: time.Now()})
+}
+
+func (s *swarm) signal(member int, sig syscall.Signal) {
+	if sig == syscall.SIGSTOP {
+		s.down(member)
+	}
+	_ = syscall.Kill(s.world.Ingresses[member].Cmd.Process.Pid, sig)
+	if sig == syscall.SIGCONT {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for i := range s.spells {
+			if p := &s.spells[i]; p.member == member && p.to.IsZero() {
+				p.to = time.Now()
+			}
+		}
+	}
+}
+
+// wasDown tells whether a member was down at some time between two.
+func (s *swarm) wasDown(member int, from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.spells {
+		if p.member == member && p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
+			return true
+		}
+	}
+	return false
+}
+
+// noticeMost is after which the front sends nothing more to a member that is down.
+const noticeMost = 300 * time.Millisecond
+
+// door is the member through which a request comes: one of its set, not known to be down.
+func (s *swarm) door(first, spread int) int {
+	now := time.Now()
+	at := rand.IntN(spread)
+	for k := range spread {
+		m := (first + at + k) % s.n
+		if !s.wasDown(m, now.Add(-time.Hour), now.Add(-noticeMost)) || s.isUp(m, now) {
+			return m
+		}
+	}
+	return (first + at) % s.n
+}
+
+func (s *swarm) isUp(member int, now time.Time) bool {
+	return !s.wasDown(member, now, now.Add(time.Nanosecond))
+}
+
+func newSwarm(set Setup, n int) (*swarm, error) {
+	if set.Say == nil {
+		set.Say = func(string, ...any) {}
+	}
+	dir, err := os.MkdirTemp(set.Dir, "swarm")
+	if err != nil {
+		return nil, err
+	}
+	s := &swarm{Setup: set, n: n}
+	if s.links, err = standin.NewLinks(n); err != nil {
+		return nil, err
+	}
+	shape := standin.Shape{Hosts: 8, Ingresses: n, Work: 30 * time.Millisecond, Settings: "membership: enabled: true\n",
+		Links: s.links, Sockets: 512}
+	if s.world, err = standin.NewWorld(dir, shape); err != nil {
+		s.links.Close()
+		return nil, err
+	}
+	for i := range n {
+		in, err := s.world.Start(set.Ferryfront, shape)
+		if err != nil {
+			s.close()
+			return nil, err
+		}
+		s.clients = append(s.clients, &standin.Clients{Addr: in.Addr, Record: s.world.Record, Via: i,
+			Wait: 2500 * time.Millisecond})
+	}
+	return s, nil
+}
+
+func (s *swarm) close() {
+	for i, c := range s.clients {
+		s.signal(i, syscall.SIGCONT) // what is stopped can't be waited for
+		c.Close()
+	}
+	s.world.Close()
+	s.links.Close()
+}
+
+// Dealers of the experiment: those within their quotas come through three members each, those with a ceiling through
+// all, and ask for half as much again as it lets through.
+const (
+	swarmDealers = 60
+	swarmSpread  = 3
+	greedyRate   = 60.0
+	greedy       = 2
+)
+
+// load begins to ask; the function that is returned ends it and waits for the answers.
+func (s *swarm) load(rate float64) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	stream := func(rate float64, next func(n int) (standin.Ask, int)) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			due := time.Now()
+			for n := 0; ctx.Err() == nil; n++ {
+				due = due.Add(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
+				select {
+				case <-time.After(time.Until(due)):
+				case <-ctx.Done():
+					return
+				}
+				a, door := next(n)
+				a.Due = due
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					s.clients[door].Do(a)
+				}()
+			}
+		}()
+	}
+	spread := min(swarmSpread, s.n)
+	stream(rate, func(n int) (standin.Ask, int) {
+		c := rand.IntN(swarmDealers)
+		a := standin.Ask{ID: fmt.Sprint("a", n), Customer: standin.CustomerName(c), Class: "stock", Plan: "boutique",
+			Spread: spread, First: c % s.n}
+		switch x := rand.Float64(); {
+		case x < 0.3:
+			a.Class, a.Once = "commit", true
+		case x < 0.5:
+			a.Class, a.Key = "order", "k-"+a.ID
+		}
+		return a, s.door(a.First, spread)
+	})
+	for g := range greedy {
+		stream(greedyRate, func(n int) (standin.Ask, int) {
+			return standin.Ask{ID: fmt.Sprintf("g%d-%d", g, n), Customer: standin.CustomerName(ceilingFirst + g),
+				Class: "catalogue", Plan: "distributeur", Spread: s.n}, s.door(0, s.n)
+		})
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+// Run plays one fault.
+func (c Chaos) Run() (ChaosReport, error) {
+	r := ChaosReport{Members: c.Members, Fault: c.Fault}
+	var d disorder
+	for _, o := range disorders() {
+		if o.name == c.Fault {
+			d = o
+		}
+	}
+	if d.begin == nil {
+		return r, fmt.Errorf("no fault %q", c.Fault)
+	}
+	if c.Members < 2 || c.Members > membersMost {
+		return r, fmt.Errorf("%d members, need 2 to %d", c.Members, membersMost)
+	}
+	s, err := newSwarm(c.Setup, c.Members)
+	if err != nil {
+		return r, err
+	}
+	defer s.close()
+	if err := s.agree(); err != nil {
+		return r, err
+	}
+	rate := c.Rate
+	if rate == 0 {
+		rate = 120
+	}
+	end := s.load(rate)
+	defer func() { end() }()
+	time.Sleep(2 * time.Second) // all dealers are known
+	// A host starts as the fault does: the members together must not push it over.
+	cold := &standin.Host{Name: "cold", Zone: "salle-a", Cell: 90, Slots: 8, Queue: 16, Work: 30 * time.Millisecond,
+		ColdFor: 8 * time.Second, ColdFrom: 0.2}
+	if err := s.world.AddHost(cold); err != nil {
+		return r, err
+	}
+	length := d.length
+	if c.Length > 0 {
+		length = c.Length
+	}
+	began, carried := time.Now(), s.links.Carried()
+	over := d.begin(s)
+	time.Sleep(length / 2)
+	s.world.Discovery.Set(s.world.Hosts[0], "Terminating") // and one drains in the middle of it
+	time.Sleep(length - length/2)
+	over()
+	healed := time.Now()
+	r.Seconds = healed.Sub(began).Seconds()
+	r.MessagesS = float64(s.links.Carried()-carried) / r.Seconds / float64(c.Members)
+	if err := s.agree(); err != nil {
+		r.Error = err.Error()
+	}
+	r.HealMS = float64(time.Since(healed).Microseconds()) / 1e3
+	time.Sleep(time.Second)
+	end()
+	end = func() {}
+	s.judge(&r, d, began, healed)
+	return r, nil
+}
+
+// membersMost bounds the processes of one experiment.
+const membersMost = 40
--- /dev/null
+++ b/internal/lab/chaos_test.go
@@ -0,0 +1,170 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/daemon"
+	"ferryfront.example/ferryfront/internal/standin"
+)
+
+// three is a fleet of three processes that agree.
+func three(t *testing.T) *swarm {
+	t.Parallel()
+	s, err := newSwarm(setup(t), 3)
+	require.NoError(t, err)
+	t.Cleanup(s.close)
+	require.NoError(t, s.agree())
+	return s
+}
+
+// holds waits until a member holds another in a state.
+func (s *swarm) holds(t *testing.T, observer int, member, state string) {
+	t.Helper()
+	require.NoError(t, until(member+" is "+state, func() bool {
+		m, err := s.members(observer)
+		require.NoError(t, err)
+		for _, o := range m.Members {
+			if o.Name == member {
+				return o.State == state
+			}
+		}
+		return false
+	}))
+}
+
+// served tells that dealers with a ceiling are served through a member, each asking once.
+func (s *swarm) served(t *testing.T, member int) {
+	t.Helper()
+	dealer := 1000 * (member + 1)
+	require.NoError(t, until("a dealer with a ceiling is served", func() bool {
+		dealer++
+		return s.clients[member].Do(standin.Ask{ID: fmt.Sprint("c", dealer), Customer: standin.CustomerName(dealer),
+			Class: "stock", Plan: "distributeur", Spread: s.n}).Status == 200
+	}))
+}
+
+// times tells how often members came to a state in others' views.
+func (s *swarm) times(t *testing.T, state string) int {
+	t.Helper()
+	list, err := s.declared(state)
+	require.NoError(t, err)
+	return len(list)
+}
+
+// A killed process is dead for the others, and its part of joint budgets is nobody's. Started anew it takes its place.
+func TestAKilledMember(t *testing.T) {
+	s := three(t)
+	s.world.Ingresses[2].Kill()
+	<-s.world.Ingresses[2].Ended()
+	for o := range 2 {
+		s.holds(t, o, "2", "dead")
+		m, err := s.members(o)
+		require.NoError(t, err)
+		require.Empty(t, m.Absent, "it may be cut off and go on sending")
+	}
+	require.NoError(t, s.world.Again(2))
+	require.NoError(t, s.agree())
+}
+
+// A process that was stopped is dead in the meantime; going on it learns of that and refutes.
+func TestAPausedMember(t *testing.T) {
+	s := three(t)
+	s.signal(1, syscall.SIGSTOP)
+	s.holds(t, 0, "1", "dead")
+	s.holds(t, 2, "1", "dead")
+	s.signal(1, syscall.SIGCONT)
+	require.NoError(t, s.agree())
+}
+
+// Both sides of a split find the other dead, serve on, and find each other again when it is over.
+func TestASplitFleet(t *testing.T) {
+	s := three(t)
+	s.links.Set(func(from, to int) bool { return (from == 0) != (to == 0) }, 0, 0)
+	s.holds(t, 0, "1", "dead")
+	s.holds(t, 0, "2", "dead")
+	s.holds(t, 1, "0", "dead")
+	s.holds(t, 2, "0", "dead")
+	for i := range s.n {
+		s.served(t, i)
+	}
+	s.heal()
+	require.NoError(t, s.agree())
+}
+
+// One that is not heard by one other only is vouched for by the third: it is not even suspected, but for a stall of
+// the machine.
+func TestOneWayLossIsVouchedFor(t *testing.T) {
+	s := three(t)
+	s.links.Set(func(from, to int) bool { return from == 0 && to == 1 }, 0, 0)
+	before, suspected := s.links.Carried(), s.times(t, "suspect")
+	require.NoError(t, until("rounds of probes have passed", func() bool { return s.links.Carried() > before+150 }))
+	require.Zero(t, s.times(t, "dead"))
+	require.LessOrEqual(t, s.times(t, "suspect"), suspected+3, "a suspicion a round without the third's help")
+	s.heal()
+	require.NoError(t, s.agree())
+}
+
+// A member that leaves for good is counted out by the others, and in again once it is back.
+func TestAMemberLeavesAndComesBack(t *testing.T) {
+	s := three(t)
+	in := s.world.Ingresses[1]
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	require.NoError(t, daemon.Ask(ctx, in.Control, daemon.Command{Do: "leave"}, func(line []byte) error {
+		var p daemon.Progress
+		require.NoError(t, json.Unmarshal(line, &p))
+		require.True(t, p.OK, p.Text)
+		return nil
+	}))
+	<-in.Ended()
+	absent := func(o int) []int {
+		m, err := s.members(o)
+		require.NoError(t, err)
+		return m.Absent
+	}
+	for _, o := range []int{0, 2} {
+		s.holds(t, o, "1", "left")
+		require.NoError(t, until("it is counted out", func() bool { return len(absent(o)) == 1 && absent(o)[0] == 1 }))
+	}
+	require.NoError(t, s.world.Again(1))
+	require.NoError(t, s.agree())
+	for _, o := range []int{0, 2} {
+		require.NoError(t, until("it is counted in", func() bool { return len(absent(o)) == 0 }))
+	}
+	s.served(t, 1)
+}
+
+// A restart in the platform's way, SIGTERM and a new process, keeps the place: nobody counts it out meanwhile.
+func TestAPlannedRestartKeepsThePlace(t *testing.T) {
+	s := three(t)
+	in := s.world.Ingresses[0]
+	require.NoError(t, in.Cmd.Process.Signal(syscall.SIGTERM))
+	<-in.Ended()
+	for _, o := range []int{1, 2} {
+		m, err := s.members(o)
+		require.NoError(t, err)
+		require.Empty(t, m.Absent)
+	}
+	require.NoError(t, s.world.Again(0))
+	require.NoError(t, s.agree())
+}
+
+// A whole experiment keeps the rules under load.
+func TestChaosKeepsTheRules(t *testing.T) {
+	t.Parallel()
+	for _, fault := range []string{"kill", "partition"} {
+		r, err := Chaos{Setup: setup(t), Members: 3, Fault: fault, Length: 4 * time.Second, Rate: 60}.Run()
+		require.NoError(t, err)
+		require.Empty(t, r.Error)
+		require.Zero(t, r.Lost+r.Doubled+r.CeilingBreaks+r.OverrunHosts+r.LateSends, "%+v", r)
+		require.NotNil(t, r.DetectMS)
+		require.Greater(t, r.ServedShare, 0.9)
+	}
+}
--- /dev/null
+++ b/internal/lab/judge.go
@@ -0,0 +1,189 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"ferryfront.example/ferryfront/internal/daemon"
+)
+
+// What a fleet's experiment is judged by: what the members say, what they have logged, and the record.
+
+// agreeMost bounds the time until all views agree.
+const agreeMost = 15 * time.Second
+
+// agree waits until every member that is up holds every one that is up alive, and takes its share.
+func (s *swarm) agree() error {
+	var last string
+	for end := time.Now().Add(agreeMost); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if last = s.disagreement(); last == "" {
+			return nil
+		}
+	}
+	return fmt.Errorf("the views do not agree: %s", last)
+}
+
+func (s *swarm) disagreement() string {
+	now := time.Now()
+	for i := range s.n {
+		if !s.isUp(i, now) {
+			continue
+		}
+		m, err := s.members(i)
+		if err != nil {
+			return err.Error()
+		}
+		state := map[string]string{}
+		for _, o := range m.Members {
+			state[o.Name] = o.State
+		}
+		for j := range s.n {
+			if s.isUp(j, now) && state[strconv.Itoa(j)] != "alive" {
+				return fmt.Sprintf("%d holds %d %q", i, j, state[strconv.Itoa(j)])
+			}
+		}
+		if !m.Settled {
+			return fmt.Sprintf("%d has not settled", i)
+		}
+	}
+	return ""
+}
+
+// members asks a member for its view.
+func (s *swarm) members(i int) (daemon.Members, error) {
+	var m daemon.Members
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	err := daemon.Ask(ctx, s.world.Ingresses[i].Control, daemon.Command{Do: "members"},
+		func(line []byte) error { return json.Unmarshal(line, &m) })
+	return m, err
+}
+
+// death is one member declared dead, or what else is asked for, in another's view.
+type death struct {
+	observer, member int
+	at               time.Time
+}
+
+// declared reads from the members' logs who came to a state in whose view.
+func (s *swarm) declared(state string) (list []death, err error) {
+	for i, in := range s.world.Ingresses {
+		f, err := os.Open(in.Log)
+		if err != nil {
+			return nil, err
+		}
+		lines := bufio.NewScanner(f)
+		for lines.Scan() {
+			field := map[string]string{}
+			for _, part := range strings.Fields(lines.Text()) {
+				if k, v, ok := strings.Cut(part, "="); ok {
+					field[k] = v
+				}
+			}
+			if field["msg"] != "member" || field["state"] != state {
+				continue
+			}
+			at, err := time.Parse(time.RFC3339Nano, field["time"])
+			member, bad := strconv.Atoi(field["member"])
+			if err != nil || bad != nil {
+				return nil, fmt.Errorf("log line not read: %s", lines.Text())
+			}
+			list = append(list, death{i, member, at})
+		}
+		_ = f.Close()
+		if err := lines.Err(); err != nil {
+			return nil, err
+		}
+	}
+	return list, nil
+}
+
+// recently is for how long one that was down may still be declared dead without that being false: the news is on
+// its way.
+const recently = 2 * time.Second
+
+// judge fills in what the record and the logs come to.
+func (s *swarm) judge(r *ChaosReport, d disorder, began, healed time.Time) {
+	deaths, err := s.declared("dead")
+	if err != nil {
+		r.Error = err.Error()
+	}
+	first := map[[2]int]time.Time{}
+	for _, x := range deaths {
+		pair := [2]int{x.observer, x.member}
+		if _, seen := first[pair]; !seen && !x.at.Before(began.Truncate(time.Millisecond)) {
+			first[pair] = x.at
+		}
+		cut := s.cut != nil && s.cut(x.observer, x.member) && x.at.After(began) && x.at.Before(healed.Add(recently))
+		if !cut && !s.wasDown(x.member, x.at.Add(-recently), x.at) && !s.wasDown(x.observer, x.at.Add(-recently), x.at) {
+			r.FalseDead++
+		}
+	}
+	if d.gone != nil {
+		h := hdrhistogram.New(1, 60_000_000, 3)
+		for m := range s.n {
+			last, should := time.Duration(0), false
+			for o := range s.n {
+				if o == m || !d.gone(s, o, m) {
+					continue
+				}
+				should = true
+				at, seen := first[[2]int{o, m}]
+				if !seen {
+					r.Error = fmt.Sprintf("%d never held %d dead", o, m)
+					at = healed.Add(time.Minute)
+				}
+				last = max(last, at.Sub(began))
+			}
+			if should {
+				_ = h.RecordValue(last.Microseconds()) // a minute is more than any experiment lasts
+			}
+		}
+		p99 := float64(h.ValueAtQuantile(99)) / 1e3
+		r.DetectMS = &p99
+	}
+	s.account(r)
+}
+
+// account judges the record. What a member had taken that was down meanwhile is its clients' to ask again.
+func (s *swarm) account(r *ChaosReport) {
+	v := s.world.Record.Check(ceilingRules(greedy))
+	r.CeilingBreaks, r.OverrunHosts, r.LateSends, r.Faults = v.CeilingBreaks, v.OverrunHosts, v.LateSends, v.Faults
+	r.Doubled = v.ForbiddenRepeats + v.SecondCopies
+	ran := map[string]int{}
+	for _, run := range s.world.Record.Runs() {
+		if run.Class == "commit" {
+			if ran[run.ID]++; ran[run.ID] == 2 {
+				r.Doubled++
+			}
+		}
+	}
+	asked, served := 0, 0
+	for _, a := range s.world.Record.Answers() {
+		r.Requests++
+		if s.wasDown(a.Via, a.Due, a.End) {
+			r.DownRequests++
+			continue
+		}
+		if a.Status == 0 || a.Twice {
+			r.Lost++
+			s.Say("lost: %s through %d, due %s: %s", a.ID, a.Via, a.Due.Format(time.RFC3339Nano), a.Lost)
+		}
+		if a.Plan == "boutique" {
+			if asked++; a.Status == 200 {
+				served++
+			}
+		}
+	}
+	if asked > 0 {
+		r.ServedShare = float64(served) / float64(asked)
+	}
+}
--- a/internal/lab/upgrade.go
+++ b/internal/lab/upgrade.go
@@ -142,14 +142,18 @@
 }
 
 // rules are those of the world's plan with a ceiling.
-func (b *bench) rules() standin.Rules {
+func (b *bench) rules() standin.Rules { return ceilingRules(ceilingDealers) }
+
+// ceilingRules are those for so many dealers with a ceiling.
+func ceilingRules(dealers int) standin.Rules {
 	r := standin.Rules{Window: standin.Window}
 	for _, p := range standin.Plans() {
 		if rate, ok := p["hardRate"].(int); ok {
-			r.CeilingRate, r.CeilingBurst, r.CeilingSlack = float64(rate), float64(p["neverOverDepth"].(int)), float64(p["hardSlack"].(int))
+			r.CeilingRate, r.CeilingBurst = float64(rate), float64(p["neverOverDepth"].(int))
+			r.CeilingSlack = float64(p["hardSlack"].(int))
 		}
 	}
-	for i := range ceilingDealers {
+	for i := range dealers {
 		r.Customers = append(r.Customers, standin.CustomerName(ceilingFirst+i))
 	}
 	return r
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -20,6 +20,7 @@
 	Addr   string
 	Record *Record
 	Wait   time.Duration // that a client waits for an answer
+	Via    int           // number of the ingress, for the record
 
 	mu    sync.Mutex
 	idle  []*clientConn
@@ -37,18 +38,23 @@
 	ID, Key, Customer, Class, Plan string
 	Due                            time.Time
 	Spread                         int
+	First                          int  // ingress of its set
+	Once                           bool // it must not run twice: a POST without a key
 }
 
 func (a Ask) text(wait time.Duration) string {
 	method := "GET"
-	if a.Key != "" {
+	if a.Key != "" || a.Once {
 		method = "POST"
 	}
 	s := fmt.Sprintf("%s /api/%s?class=%s HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: %s\r\nRequest-Class: %s\r\nX-Plan: %s\r\n"+
-		"Request-Timeout: %dm\r\nX-Quota: units=1,spread=%d,first=0\r\n", method, a.Customer, a.Class, a.ID, a.Class, a.Plan,
-		wait.Milliseconds(), max(1, a.Spread))
+		"Request-Timeout: %dm\r\nX-Quota: units=1,spread=%d,first=%d\r\n", method, a.Customer, a.Class, a.ID, a.Class, a.Plan,
+		wait.Milliseconds(), max(1, a.Spread), a.First)
 	if a.Key != "" {
-		return s + "Idempotency-Key: " + a.Key + "\r\nContent-Length: 4\r\n\r\nbody"
+		s += "Idempotency-Key: " + a.Key + "\r\n"
+	}
+	if method == "POST" {
+		return s + "Content-Length: 4\r\n\r\nbody"
 	}
 	return s + "\r\n"
 }
@@ -94,7 +100,7 @@
 	if a.Due.IsZero() {
 		a.Due = time.Now()
 	}
-	got := Answer{ID: a.ID, Key: a.Key, Customer: a.Customer, Class: a.Class, Due: a.Due}
+	got := Answer{ID: a.ID, Key: a.Key, Customer: a.Customer, Class: a.Class, Plan: a.Plan, Via: c.Via, Due: a.Due}
 	deadline := a.Due.Add(c.Wait)
 	for fresh := false; ; fresh = true {
 		conn, err := c.take(fresh)
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -24,7 +24,8 @@
 // Answer is what a client got for one request.
 type Answer struct {
 	ID, Key, Customer string
-	Class             string
+	Class, Plan       string
+	Via               int // the ingress that was asked
 	Due, End          time.Time
 	Status            int // 0: none
 	Twice             bool
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -39,7 +39,8 @@
 	Plans            []map[string]any // as in an ingress's settings; nil: one that hardly limits, one with a ceiling
 	Settings         string           // text of the program's own settings beyond the control socket
 	Sockets          int
-	Bare             bool // without settings of the program's own, and so without a control socket
+	Links            *Links // between ingresses that talk; nil: they do not
+	Bare             bool   // without settings of the program's own, and so without a control socket
 }
 
 // Window is for which the cells of a world know a key.
@@ -112,17 +113,21 @@
 	if sockets == 0 {
 		sockets = 1024
 	}
-	return map[string]any{"name": name, "listen": addr, "discovery": w.Discovery.Addr(), "counter": w.Counter.Addr(), "seed": "1f",
+	c := map[string]any{"name": name, "listen": addr, "discovery": w.Discovery.Addr(), "counter": w.Counter.Addr(), "seed": "1f",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": sockets},
 		"known":  map[string]any{"version": 0, "full": true, "servers": []any{}},
 		"settings": map[string]any{"balancers": max(1, s.Ingresses), "me": me, "period": 1, "zone": "salle-a", "discovery": "push",
 			"classes": []any{class("stock", "retryable", 1200, 3000, 3), class("catalogue", "retryable", 600, 2000, 1),
-				class("order", "dedup", 1200, 3000, 2)},
+				class("order", "dedup", 1200, 3000, 2), class("commit", "fragile", 1200, 3000, 2)},
 			"tiersOfService": plans,
 			"extra":          map[string]any{"hasCounter": true, "counterTimeout": 30, "maxUnits": 2},
 			"limits":         map[string]any{"maxAttempts": 3, "cancelling": true, "dialTimeout": 250, "idleClose": 15000, "maxRetryAfter": 2000},
 			"rules":          map[string]any{"answerSlack": 16, "drainGrace": 500, "cold": 8000, "coldFrom": 0.2, "tipMultiple": 2, "fall": 3000},
 			"prices":         map[string]any{"crossZone": 0.01}}}
+	if s.Links != nil {
+		c["peer_listen"], c["peers"] = s.Links.Listen(me), s.Links.Peers(me)
+	}
+	return c
 }
 
 // Start starts an ingress of the binary. Its path is a copy's, so that the test may put another in its place.
@@ -156,9 +161,29 @@
 	if in.Args = []string{"serve", "--config", own}; s.Bare {
 		in.Args = in.Args[:1]
 	}
+	if err := in.run(); err != nil {
+		return nil, err
+	}
+	w.Ingresses = append(w.Ingresses, in)
+	return in, in.Ready(10 * time.Second)
+}
+
+// Again starts an ingress that has ended once more, as it was started first.
+func (w *World) Again(i int) error {
+	in := w.Ingresses[i]
+	<-in.ended
+	in.ended = make(chan struct{})
+	if err := in.run(); err != nil {
+		return err
+	}
+	return in.Ready(10 * time.Second)
+}
+
+// run starts the first process.
+func (in *Ingress) run() error {
 	log, err := os.OpenFile(in.Log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer log.Close()
 	in.Cmd = exec.Command(in.Binary, in.Args...)
@@ -166,14 +191,13 @@
 	// Successors are of the same group, and outlive the first process.
 	in.Cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := in.Cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	go func() {
-		_ = in.Cmd.Wait()
-		close(in.ended)
-	}()
-	w.Ingresses = append(w.Ingresses, in)
-	return in, in.Ready(10 * time.Second)
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(in.Cmd, in.ended)
+	return nil
 }
 
 // Install puts a binary at the ingress's path, in one step.
