--- a/admission/present.go
+++ b/admission/present.go
@@ -21,6 +21,9 @@
 }
 
 func (g *Gateway) fleetChanged(ev FleetChanged) {
+	if g.fleet.unsure && !ev.Unsure { // until now the others had what is ours from here on
+		g.began = max(g.began, g.now)
+	}
 	g.fleet = present{out: slices.Clone(ev.Out), unsure: ev.Unsure}
 	for _, c := range g.customers {
 		c.dealt = false // doors and parts are dealt anew with its next request
--- a/admission/present_test.go
+++ b/admission/present_test.go
@@ -74,6 +74,11 @@
 		t.Errorf("%d sent by unsure gateways", n)
 	}
 	told(f, now+3*time.Second, FleetChanged{}, 0, 1)
+	for me, d := range f.doors { // nor has it saved up a part meanwhile, for a customer that it meets now
+		if c := d.g.customer(8, hard, 2, 0); c.underCeiling(now+3*time.Second+ms, 1) {
+			t.Errorf("gateway %d has a part at once", me)
+		}
+	}
 	if n := ceilingSent(f, now+3*time.Second, now+5*time.Second, -1); n < 25 || n > 36+5 {
 		t.Errorf("%d sent in 2 s at 18 a second, from empty stores", n)
 	}
--- a/internal/membership/swim.go
+++ b/internal/membership/swim.go
@@ -394,9 +394,9 @@
 func (n *Node) hear(u Update, from string, now time.Duration) {
 	switch {
 	case u.Name != n.cfg.Me:
-		// Who was just heard here is not dead for another's word, such as one from the other side of a split that
-		// is over: it is asked itself.
-		if at := n.heard[u.Name]; u.State == Dead && at > 0 && now-at < n.suspectFor() {
+		// Nobody is dead for another's word, such as one from the other side of a split that is over: who is said to
+		// be is suspected here, asked, and dead when nothing is heard of it here either.
+		if u.State == Dead {
 			u.State = Suspect
 		}
 		n.tell(u, now)
