--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -240,3 +240,27 @@
 		}
 	}
 }
+
+// Where few are admitted the least worth is turned away first, but not nearly all of it: with four in five of the
+// best class admitted, at least one in ten of a class worth a third.
+func TestClassesOfLowWorthAreNotStarved(t *testing.T) {
+	s := base()
+	s.Classes = s.Classes[:2:2]
+	s.Classes[0].Worth, s.Classes[1].Worth = 3, 1
+	d := newDesk(t, s, "s1")
+	passed := [2]int{}
+	for id := range uint64(4000) {
+		d.g.admit = 0.8
+		class := int(id % 2)
+		d.do(RequestArrived{ID: id + 1, Class: class, Plan: free, Customer: id, ExpiresIn: time.Second, Units: 1, Doors: 1})
+		for _, sent := range find[Send](d.look()) {
+			passed[class]++
+			d.do(AttemptEnded{ID: sent.ID, Server: sent.Server, Outcome: OK, Took: ms, Done: true})
+		}
+		d.wait(5 * ms)
+		d.look()
+	}
+	if best, least := float64(passed[0])/2000, float64(passed[1])/2000; best < 0.75 || least < 0.10 || least > 0.2 {
+		t.Errorf("admitted: %.2f of the best class, %.2f of the least", best, least)
+	}
+}
