--- a/internal/membership/swim.go
+++ b/internal/membership/swim.go
@@ -34,7 +34,7 @@
 	Msg Message
 }
 
-// Event is what a node is told: Tick, Received, Join or Leave.
+// Event is what a node is told: Tick, Received, Join, Leave or Gone.
 type Event interface{ event() }
 
 // Tick lets time pass; the host calls it at least every Config.AckWithin/2.
@@ -49,6 +49,11 @@
 // Leave tells the others that the node leaves for good; it probes no more.
 type Leave struct{}
 
+// Gone tells that a member which is dead in this view is so for good, as an operator knows. Should it be there
+// after all, it refutes as any suspicion.
+type Gone struct{ Name string }
+
+func (Gone) event()     {}
 func (Tick) event()     {}
 func (Received) event() {}
 func (Join) event()     {}
@@ -163,6 +168,10 @@
 		n.seeds = e.Seeds
 		n.ask()
 		n.greet(now)
+	case Gone:
+		if m, ok := n.ms.get(e.Name); ok && m.State == Dead {
+			n.tell(Update{Name: m.Name, Incarnation: m.Incarnation, State: Left}, now)
+		}
 	case Leave:
 		if !n.left {
 			n.left = true
--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -331,3 +331,25 @@
 		}
 	}
 }
+
+// One that is dead for good, as an operator says, is left for all; one that is alive can't be said to be gone.
+func TestGoneForGood(t *testing.T) {
+	w := newNet(4, 2, 0.02, 10*ms)
+	w.run(3 * time.Second)
+	w.put("n1", w.nodes["n1"].Handle(w.now, Gone{Name: "n3"}))
+	w.run(time.Second)
+	require.Equal(t, Alive, stateOf(w.nodes["n1"], "n3"))
+	w.down["n3"] = true
+	w.run(4 * time.Second)
+	w.put("n1", w.nodes["n1"].Handle(w.now, Gone{Name: "n3"}))
+	w.run(3 * time.Second)
+	for _, name := range []string{"n0", "n1", "n2"} {
+		require.Equal(t, Left, stateOf(w.nodes[name], "n3"), name)
+		require.Equal(t, []string{"n3"}, w.nodes[name].Absent(w.now), name)
+	}
+	w.down["n3"] = false // it was there after all
+	w.run(4 * time.Second)
+	for name, a := range w.nodes {
+		require.Equal(t, 4, a.View().Count(Alive), name)
+	}
+}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"google.golang.org/protobuf/encoding/protowire"
+
+	"ferryfront.example/ferryfront/internal/wire"
 )
 
 // Datagram is the most bytes that the platform carries between ingresses in one message.
@@ -65,7 +67,7 @@
 	if len(b) > Datagram {
 		return msg, ErrTooLong
 	}
-	err := walk(b, "", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
+	err := wire.Walk(b, "membership: ", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
 		switch {
 		case num == fKind && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
@@ -109,7 +111,7 @@
 
 func parseUpdate(b []byte) (Update, error) {
 	var u Update
-	err := walk(b, "updates.", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
+	err := wire.Walk(b, "membership: updates.", func(num protowire.Number, typ protowire.Type, b []byte) (int, error) {
 		switch {
 		case num == uName && typ == protowire.BytesType:
 			v, n := protowire.ConsumeString(b)
@@ -133,27 +135,3 @@
 	}
 	return u, err
 }
-
-// walk reads the fields of b in turn. take reads one it knows and returns the bytes it used, negative
-// where they are cut short, or 0 for a field it does not know, which is skipped.
-func walk(b []byte, where string, take func(protowire.Number, protowire.Type, []byte) (int, error)) error {
-	for len(b) > 0 {
-		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return fmt.Errorf("membership: %stag: %w", where, protowire.ParseError(n))
-		}
-		b = b[n:]
-		n, err := take(num, typ, b)
-		if err != nil {
-			return err
-		}
-		if n == 0 {
-			n = protowire.ConsumeFieldValue(num, typ, b)
-		}
-		if n < 0 {
-			return fmt.Errorf("membership: field %s%d: %w", where, num, protowire.ParseError(n))
-		}
-		b = b[n:]
-	}
-	return nil
-}
