--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -17,6 +18,7 @@
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/discovery"
 	"ferryfront.example/ferryfront/internal/settings"
+	"ferryfront.example/ferryfront/internal/versions"
 )
 
 // Config is one ingress's configuration.
@@ -29,9 +31,13 @@
 	Cores                            float64
 	Known                            discovery.List
 	Settings                         admission.Settings
+	Version                          uint64 // of the settings, above 0; 0: they have none
+	Shared                           []byte // what of them all ingresses have in common; nil without a version
 	Limits                           limits.Limits
 
-	keys []string // that a file for a reload must have, too
+	keys   []string // that a file for a reload must have, too
+	raw    []byte
+	getenv func(string) string
 }
 
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT, where they are set,
@@ -81,14 +87,15 @@
 // Parse reads a configuration. Its errors name the field.
 func Parse(raw []byte, getenv func(string) string) (Config, error) {
 	var none Config
-	v, err := fastjson.ParseBytes(raw)
+	doc, err := fastjson.ParseBytes(raw)
 	if err != nil {
 		return none, fmt.Errorf("not JSON: %w", err)
 	}
-	r := settings.NewReader(v, "")
+	r := settings.NewReader(doc, "")
 	r.Need("limits", "settings")
 	c := Config{
-		keys:       keys(v),
+		raw: raw, getenv: getenv,
+		keys:       keys(doc),
 		Name:       cmp.Or(getenv("GW_NAME"), r.Text("name")),
 		Listen:     cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
 		Discovery:  cmp.Or(getenv("GW_DISCOVERY"), r.Text("discovery")),
@@ -104,6 +111,15 @@
 	if c.Settings, err = settings.Read(set); err != nil {
 		return none, err
 	}
+	if v := r.Float("settings_version"); v != 0 {
+		if v < 1 || v > versions.NumberMost || v != math.Trunc(v) {
+			return none, fmt.Errorf("settings_version is %v, need a whole number from 1 to %d", v, versions.NumberMost)
+		}
+		c.Version = uint64(v)
+		if c.Shared, err = settings.Shared(doc.Get("settings").MarshalTo(nil)); err != nil {
+			return none, err
+		}
+	}
 	if c.Known, err = discovery.ReadList(r.Object("known")); err != nil {
 		return none, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -57,6 +57,11 @@
 		"limits.sockets is 10":          {`1024`, `10`},
 		"settings.me is missing":        {`"me":1,`, ``},
 		"settings.me is 7, need 0 to 2": {`"me":1`, `"me":7`},
+		"settings_version is 0.5":       {`"seed"`, `"settings_version":0.5,"seed"`},
+		"settings_version is -1":        {`"seed"`, `"settings_version":-1,"seed"`},
+		"settings_version is 4.294967296e+09, need a whole number from 1 to 4294967295": {`"seed"`,
+			`"settings_version":4294967296,"seed"`},
+		"settings_version is no number": {`"seed"`, `"settings_version":"7","seed"`},
 		"peer_listen: ":                 {`"seed"`, `"peer_listen":"here","seed"`},
 		"peers[1]: ":                    {`"seed"`, `"peers":["127.0.0.5:7946","there"],"seed"`},
 		"peers holds what is no text":   {`"seed"`, `"peers":[7946],"seed"`},
@@ -73,3 +78,25 @@
 	_, err = Load(env(map[string]string{"GW_CONFIG": path}))
 	require.ErrorContains(t, err, path+": limits is missing")
 }
+
+// Other settings take the place of its own, but for what an ingress has for itself; bad ones are turned down.
+func TestUnderOtherSettings(t *testing.T) {
+	c, err := Parse([]byte(strings.Replace(good, `"seed"`, `"settings_version":7,"seed"`, 1)), env(map[string]string{"GW_NAME": "n9"}))
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), c.Version)
+	require.NotContains(t, string(c.Shared), `"me"`)
+	shared := strings.Replace(string(c.Shared), `"deadline":2000`, `"deadline":1500`, 1)
+	_, err = c.Under([]byte(shared))
+	require.ErrorContains(t, err, "maxAttempts", "as strict as a reload")
+	shared = strings.Replace(shared, `"limits":{`, `"limits":{"maxAttempts":2,`, 1)
+	to, err := c.Under([]byte(shared))
+	require.NoError(t, err)
+	require.Equal(t, "n9", to.Name)
+	require.Equal(t, 1, to.Settings.Me)
+	require.Equal(t, 1500*time.Millisecond, to.Settings.Classes[0].Deadline)
+	require.Equal(t, 2100*time.Millisecond, to.Limits.DrainMost)
+	for _, bad := range []string{"", "{", `{"balancers":1}`, strings.Replace(shared, `"balancers":3`, `"balancers":1`, 1)} {
+		_, err := c.Under([]byte(bad))
+		require.Error(t, err, bad)
+	}
+}
--- /dev/null
+++ b/internal/config/under.go
@@ -0,0 +1,31 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/valyala/fastjson"
+
+	"ferryfront.example/ferryfront/internal/settings"
+)
+
+// Under returns the configuration with the shared part of other settings in place of its own, checked as a file is
+// at a reload. Its version stays: whoever has the other settings knows theirs.
+func (c Config) Under(shared []byte) (Config, error) {
+	doc, err := fastjson.ParseBytes(c.raw)
+	if err != nil {
+		return Config{}, fmt.Errorf("not JSON: %w", err)
+	}
+	whole, err := settings.Localize(shared, doc.Get("settings").MarshalTo(nil))
+	if err != nil {
+		return Config{}, err
+	}
+	v, err := fastjson.ParseBytes(whole)
+	if err != nil {
+		return Config{}, fmt.Errorf("settings: not JSON: %w", err)
+	}
+	if err := strict(settings.NewReader(v, "settings")); err != nil {
+		return Config{}, err
+	}
+	doc.Set("settings", v)
+	return Parse(doc.MarshalTo(nil), c.getenv)
+}
