Settings versions in the daemon: pulled, acted on together, told at the door

SIGHUP turns down an older version, one of the same number with another content, and a missing one, also without membership. Without settings_version all is as before, so run is unchanged.

--- a/cmd/ferryfront/settings_test.go
+++ b/cmd/ferryfront/settings_test.go
@@ -177,3 +177,35 @@
 	require.Equal(t, 200, (<-first).status)
 	require.Zero(t, w.ends())
 }
+
+// Settings with a version are taken in its order only, also by an ingress that talks to no other; the door tells which
+// one is in force.
+func TestSettingsVersions(t *testing.T) {
+	w := newWorld(t).withDoor()
+	door := w.change
+	w.change = func(config, settings map[string]any) {
+		door(config, settings)
+		config["settings_version"] = 4
+	}
+	w.start()
+	version := func(n int) {
+		t.Helper()
+		require.Equal(t, fmt.Sprintf("200 ready settings=%d\n", n), w.call("STATUS"))
+		now := w.figures()
+		require.Equal(t, []int{n, n, 1, 0, 0}, []int{now["app_settings_version"], now["app_settings_oldest_version"],
+			now["app_settings_versions_acting"], now["app_settings_stale_members"], now["app_settings_cut_off"]})
+	}
+	version(4)
+	w.told["settings_version"] = 3
+	require.False(t, w.reload())
+	require.Contains(t, w.log.String(), "version 3 is older than 4")
+	w.told["settings_version"], w.settings()["period"] = 4, 5
+	require.False(t, w.reload())
+	require.Contains(t, w.log.String(), "another content")
+	w.settings()["period"] = 4
+	require.True(t, w.reload(), "the same once more")
+	version(4)
+	w.told["settings_version"], w.settings()["period"] = 6, 5
+	require.True(t, w.reload())
+	version(6)
+}
--- a/cmd/ferryfront/upgrade.go
+++ b/cmd/ferryfront/upgrade.go
@@ -79,10 +79,12 @@
 		Short: "End the running daemon for good: the other ingresses share what was its part",
 		Long: `Ends the daemon in the orderly way of SIGTERM, and then has it tell the other ingresses that it left. They
 count it out of ceilings and quotas until it is started again. For an ingress that comes back use SIGTERM: it
-keeps its part. Exits with 1 where membership is not enabled or an upgrade is under way.`}
+keeps its part. With --member, tells instead that another ingress, which is dead in this one's view, is gone for
+good. Exits with 1 where membership is not enabled, an upgrade is under way, or that ingress is not dead.`}
 	with := p.control(c)
+	member := c.Flags().String("member", "", "`number` of another ingress, which is dead for good")
 	run := func(ctx context.Context, socket string) error {
-		return daemon.Ask(ctx, socket, daemon.Command{Do: "leave"}, func(line []byte) error {
+		return daemon.Ask(ctx, socket, daemon.Command{Do: "leave", Member: *member}, func(line []byte) error {
 			var end daemon.Progress
 			if err := json.Unmarshal(line, &end); err != nil {
 				return fmt.Errorf("leave: %w", err)
@@ -90,7 +92,11 @@
 			if !end.OK {
 				return fmt.Errorf("leave: %s", end.Text)
 			}
-			_, err := fmt.Fprintf(p.out, "process %d ends and leaves\n", end.Pid)
+			text := fmt.Sprintf("process %d ends and leaves", end.Pid)
+			if *member != "" {
+				text = fmt.Sprintf("member %s has left", *member)
+			}
+			_, err := fmt.Fprintln(p.out, text)
 			return err
 		})
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -19,7 +19,8 @@
 
 // Command is what a client of the control socket asks for.
 type Command struct {
-	Do string `json:"do"` // upgrade, status, members or leave
+	Do     string `json:"do"`               // upgrade, status, members or leave
+	Member string `json:"member,omitempty"` // of leave: another one, which is dead for good; empty: this one
 }
 
 // Status answers "status".
@@ -46,6 +47,10 @@
 	Sent     uint64   `json:"sent"`
 	Received uint64   `json:"received"`
 	Dropped  uint64   `json:"dropped"`
+	Acting   []uint64 `json:"settings_acting"` // versions of the settings that it acts on together
+	Stale    []string `json:"settings_stale"`  // members not known to act on the newest
+	Rejected []string `json:"settings_rejected"`
+	CutOff   bool     `json:"settings_cut_off"`
 }
 
 // Member is one ingress as another holds it.
@@ -163,10 +168,14 @@
 	case "status":
 		_ = out.Encode(c.status())
 	case "members":
-		m := Members{Members: []Member{}, Absent: []int{}}
+		m := Members{Members: []Member{}, Absent: []int{}, Acting: []uint64{}, Stale: []string{}, Rejected: []string{}}
 		_ = out.Encode(onLoop(c.d, m, func() Members { return c.d.view(m) }))
 	case "leave":
-		why := onLoop(c.d, "the daemon does not answer", c.d.leave)
+		leave := c.d.leave
+		if cmd.Member != "" {
+			leave = func() string { return c.d.goneForGood(cmd.Member) }
+		}
+		why := onLoop(c.d, "the daemon does not answer", leave)
 		_ = out.Encode(Progress{Text: why, Done: true, OK: why == "", Pid: os.Getpid()})
 	case "upgrade":
 		news := make(chan Progress, 16)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -238,7 +238,7 @@
 	}
 	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known, cfg.Seed)
 	d.server = downstream.New(l, cfg.Limits, d.log)
-	first := platform.New(d.core, cfg.Settings, d.watcher.Known)
+	first := platform.New(d.core, cfg.Settings, d.known)
 	d.fronts = append(d.fronts, opening{cfg.Listen, first, func() {}, first.Follow})
 	if table != nil {
 		d.fronts = append(d.fronts, d.secondFront(file, table, stamp))
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -32,7 +32,21 @@
 
 // Ready tells whether a client's request would be served here.
 func (o office) Ready() bool {
-	return o.d.watcher.Known() && o.d.server.Serving()
+	return o.d.known() && o.d.server.Serving()
+}
+
+// About tells the version of the settings, where they have one.
+func (o office) About() string {
+	f := o.d.version()
+	switch {
+	case f.Newest == 0:
+		return ""
+	case f.Alone:
+		return fmt.Sprintf(" settings=%d cut off", f.Newest)
+	case f.Acting > 1 || f.Stale > 0:
+		return fmt.Sprintf(" settings=%d not agreed, from %d", f.Newest, f.Oldest)
+	}
+	return fmt.Sprintf(" settings=%d", f.Newest)
 }
 
 // Metrics appends the figures as they stand.
@@ -40,6 +54,9 @@
 	d := o.d
 	room = d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
+	if f := d.version(); f.Newest > 0 {
+		room = figures.AppendRules(room, f)
+	}
 	if d.members == nil {
 		return room
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -11,12 +11,15 @@
 	"ferryfront.example/ferryfront/internal/figures"
 	"ferryfront.example/ferryfront/internal/membership"
 	"ferryfront.example/ferryfront/internal/net/peers"
+	"ferryfront.example/ferryfront/internal/versions"
 )
 
 // members is the daemon's part in the membership: members are named by their numbers among the settings' gateways,
 // and what of joint budgets is ours goes to the module as one event when it changes.
 type members struct {
 	*peers.Peers
+	me     string
+	rules  *rules // nil where the settings have no version
 	told   admission.FleetChanged
 	states map[string]membership.State // as last logged
 }
@@ -33,7 +36,8 @@
 		return fmt.Errorf("peers holds %d addresses, and there are %d ingresses", len(cfg.Peers), cfg.Settings.Gateways)
 	}
 	me, now := cfg.Settings.Me, d.loop.Now()
-	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged}
+	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged,
+		Mark: versions.Mark, Other: d.rulesTold}
 	var roster []string
 	for i, addr := range cfg.Peers {
 		if i == me || addr == "" {
@@ -49,13 +53,14 @@
 		Seed: cfg.Seed + uint64(me), Period: lim.MemberPeriod, AckWithin: lim.MemberAck, SuspectFor: lim.MemberSuspect,
 		Helpers: lim.MemberHelpers, Carry: lim.MemberCarry, Least: cfg.Settings.Gateways}, now)
 	node.Roster(roster, now)
-	m := &members{states: map[string]membership.State{}}
+	m := &members{me: strconv.Itoa(me), states: map[string]membership.State{}}
 	d.members = m
 	var err error
 	if m.Peers, err = peers.Open(d.loop, lim, d.log, node, c); err != nil {
 		d.members = nil
 		return err
 	}
+	d.openRules(now)
 	d.membersChanged(now)
 	return nil
 }
@@ -82,6 +87,9 @@
 	if m == nil || m.Peers == nil {
 		return
 	}
+	if m.rules != nil {
+		d.rulesTick(now)
+	}
 	ev := admission.FleetChanged{Unsure: !m.Node().Settled(now)}
 	for _, name := range m.Node().Absent(now) {
 		if i, err := strconv.Atoi(name); err == nil && i < d.cfg.Settings.Gateways {
@@ -122,6 +130,15 @@
 	v, c := m.Node().View(), m.Counts()
 	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
+	if r := m.rules; r != nil {
+		for _, doc := range r.Acting() {
+			to.Acting = append(to.Acting, doc.Number)
+		}
+		to.Stale, to.CutOff = append(to.Stale, r.Stale()...), r.Alone(d.loop.Now())
+		for v, why := range r.Refused() {
+			to.Rejected = append(to.Rejected, fmt.Sprintf("%v: %s", v, why))
+		}
+	}
 	for _, o := range v.Members {
 		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
 	}
@@ -147,6 +164,22 @@
 	return ""
 }
 
+// goneForGood has a member that is dead here be left for all, as an operator knows it to be.
+func (d *Daemon) goneForGood(name string) string {
+	m := d.members
+	if m == nil {
+		return "membership is not enabled"
+	}
+	for _, o := range m.Node().View().Members {
+		if o.Name == name && o.State == membership.Dead {
+			m.Gone(name)
+			d.membersChanged(d.loop.Now())
+			return ""
+		}
+	}
+	return fmt.Sprintf("member %s is not dead here", name)
+}
+
 // sayLeave tells the others, once nothing is open here any more, and then goes on to the end.
 func (d *Daemon) sayLeave(end func()) {
 	if !d.leaves || d.members == nil {
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -4,7 +4,6 @@
 	"strings"
 
 	"ferryfront.example/ferryfront/internal/config"
-	"ferryfront.example/ferryfront/internal/settings"
 )
 
 // reconfigure takes the configuration as it reads now, whole or not at all: where discovery and the counter are,
@@ -26,7 +25,7 @@
 		}
 		d.loop.Post(func() {
 			if err == nil {
-				to.Settings, err = settings.Follow(d.cfg.Settings, to.Settings)
+				to, err = d.offered(to)
 			}
 			if err != nil {
 				d.figures.ReconfigFailed++
@@ -54,11 +53,15 @@
 		d.log.Warn("changed configuration needs a restart", "fields", strings.Join(names, ","))
 	}
 	d.told = to
+	d.follow(to)
+}
+
+// follow goes on under other settings, and addresses.
+func (d *Daemon) follow(to config.Config) {
 	to.Settings.RetryAfter = true // as at the start
 	d.cfg.Settings, d.cfg.Limits.DrainMost = to.Settings, to.Limits.DrainMost
 	d.nameClasses()
 	d.core.Follow(d.loop.Now(), to.Settings)
-	d.membersChanged(d.loop.Now())
 	for _, f := range d.fronts {
 		f.follow(to.Settings)
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -56,6 +56,29 @@
 	return line(b, "reconfig_failed", f.ReconfigFailed)
 }
 
+// Rules is which settings an ingress acts on, where they have a version.
+type Rules struct {
+	Newest, Oldest uint64 // of the versions acted on together
+	Acting         int    // how many these are; 1: agreed
+	Stale          int    // other members not known to act on the newest
+	Rejected       int    // versions turned down
+	Alone          bool   // no other member is heard
+}
+
+// AppendRules writes them in the same form.
+func AppendRules(b []byte, f Rules) []byte {
+	b = line(b, "settings_version", f.Newest)
+	b = line(b, "settings_oldest_version", f.Oldest)
+	b = line(b, "settings_versions_acting", uint64(f.Acting))
+	b = line(b, "settings_stale_members", uint64(f.Stale))
+	b = line(b, "settings_versions_rejected", uint64(f.Rejected))
+	alone := uint64(0)
+	if f.Alone {
+		alone = 1
+	}
+	return line(b, "settings_cut_off", alone)
+}
+
 // Fleet is what an ingress holds of the others, where they talk.
 type Fleet struct {
 	Version            uint64 // of its view
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -40,3 +40,13 @@
 `, string(AppendFleet(nil, Fleet{Version: 7, States: []State{{"alive", 4}, {"dead", 1}}, Absent: 2, Settled: true, Sent: 30,
 		Got: 20, Dropped: 10})))
 }
+
+func TestAppendRules(t *testing.T) {
+	require.Equal(t, `app_settings_version 9
+app_settings_oldest_version 7
+app_settings_versions_acting 2
+app_settings_stale_members 3
+app_settings_versions_rejected 4
+app_settings_cut_off 1
+`, string(AppendRules(nil, Rules{Newest: 9, Oldest: 7, Acting: 2, Stale: 3, Rejected: 4, Alone: true})))
+}
--- a/internal/net/mgmt/mgmt.go
+++ b/internal/net/mgmt/mgmt.go
@@ -15,6 +15,7 @@
 type Office interface {
 	Ready() bool                // a client's request would be served
 	Metrics(room []byte) []byte // appends the figures
+	About() string              // goes behind the word on readiness
 }
 
 // Door holds the callers. They are served first in each turn of the loop, and their descriptors are theirs:
@@ -133,10 +134,11 @@
 	c.done = true
 	switch string(bytes.TrimSuffix(line, []byte("\r"))) {
 	case "STATUS":
-		c.out = []byte("200 ready\n")
+		word := "200 ready"
 		if !c.d.office.Ready() {
-			c.out = []byte("400 not ready\n")
+			word = "400 not ready"
 		}
+		c.out = []byte(word + c.d.office.About() + "\n")
 	case "METRICS":
 		c.out = append(c.d.office.Metrics(nil), "EOF\n"...)
 	default:
--- a/internal/net/mgmt/mgmt_test.go
+++ b/internal/net/mgmt/mgmt_test.go
@@ -21,6 +21,8 @@
 func (d desk) Ready() bool                { return d.ready }
 func (d desk) Metrics(room []byte) []byte { return append(room, "app_inflight 3\n"...) }
 
+func (d desk) About() string { return " settings=3" }
+
 type idle struct{}
 
 func (idle) Turn(time.Duration) time.Duration { return 0 }
@@ -69,9 +71,9 @@
 func TestCalls(t *testing.T) {
 	addr, _ := open(t, desk{ready: true}, bounds)
 	for _, c := range [][2]string{
-		{"STATUS\n", "200 ready\n"}, {"STATUS\r\n", "200 ready\n"},
+		{"STATUS\n", "200 ready settings=3\n"}, {"STATUS\r\n", "200 ready settings=3\n"},
 		{"METRICS\n", "app_inflight 3\nEOF\n"},
-		{"STATUS\nMETRICS\nSTATUS\n", "200 ready\n"}, // one line to a connection
+		{"STATUS\nMETRICS\nSTATUS\n", "200 ready settings=3\n"}, // one line to a connection
 		{"PAUSE\n", "400 no such call\n"}, {"status\n", "400 no such call\n"}, {"\n", "400 no such call\n"},
 		{"STATUS now\n", "400 no such call\n"}, {"\x00\xff\xfe\n", "400 no such call\n"},
 		{strings.Repeat("x", 1<<16), "400 no such call\n"}, // no end of line within the bound
@@ -79,7 +81,7 @@
 		require.Equal(t, c[1], ask(t, addr, c[0]), "%.20q", c[0])
 	}
 	addr, _ = open(t, desk{}, bounds)
-	require.Equal(t, "400 not ready\n", ask(t, addr, "STATUS\n"))
+	require.Equal(t, "400 not ready settings=3\n", ask(t, addr, "STATUS\n"))
 }
 
 func TestALineInPieces(t *testing.T) {
@@ -91,7 +93,7 @@
 	}
 	answer, err := io.ReadAll(c)
 	require.NoError(t, err)
-	require.Equal(t, "200 ready\n", string(answer))
+	require.Equal(t, "200 ready settings=3\n", string(answer))
 }
 
 // Callers that say nothing hold every place; the next is answered all the same, and they are the ones to go.
@@ -104,7 +106,7 @@
 		require.NoError(t, err)
 		silent = append(silent, c)
 	}
-	require.Equal(t, "200 ready\n", ask(t, addr, "STATUS\n"))
+	require.Equal(t, "200 ready settings=3\n", ask(t, addr, "STATUS\n"))
 	_, err := silent[0].Read(make([]byte, 1))
 	require.Error(t, err)
 }
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -36,6 +36,8 @@
 	taken  int           // and what was taken in of it
 	seen   uint64        // version of the view as last told
 	change func(now time.Duration)
+	mark   byte
+	other  func(b []byte) error
 }
 
 // Config says where a member is and where the others are, by name. Every is between ticks of the node; Change is
@@ -45,11 +47,14 @@
 	Addrs  map[string]string
 	Every  time.Duration
 	Change func(now time.Duration)
+	Mark   byte                 // of the first byte of messages that are not the membership's,
+	Other  func(b []byte) error // which are given to this; nil: there are none
 }
 
 // Open begins to listen, and joins by all the others.
 func Open(l *loop.Loop, lim limits.Limits, log *slog.Logger, node *membership.Node, c Config) (*Peers, error) {
-	p := &Peers{loop: l, lim: lim, log: log, node: node, addrs: map[string]loop.To{}, every: c.Every, change: c.Change}
+	p := &Peers{loop: l, lim: lim, log: log, node: node, addrs: map[string]loop.To{}, every: c.Every, change: c.Change,
+		mark: c.Mark, other: c.Other}
 	var seeds []string
 	for name, addr := range c.Addrs {
 		to, err := loop.ParseTo(addr)
@@ -81,6 +86,9 @@
 // Leave tells the others, once more each time it is called, that this member leaves for good.
 func (p *Peers) Leave() { p.handle(membership.Leave{}) }
 
+// Gone tells the others that a member which is dead here is so for good.
+func (p *Peers) Gone(name string) { p.handle(membership.Gone{Name: name}) }
+
 // Close says and hears no more. It is safe on nil.
 func (p *Peers) Close() {
 	if p != nil {
@@ -115,14 +123,12 @@
 			p.counts.Dropped++
 			continue
 		}
-		msg, err := membership.Parse(buf[:n])
-		if err != nil {
+		if err := p.take(buf[:n]); err != nil {
 			p.drop("peer message not read", err)
 			continue
 		}
 		p.taken++
 		p.counts.Got++
-		p.handle(membership.Received{Msg: msg})
 	}
 	if v := p.node.View().Version; v != p.seen {
 		p.seen = v
@@ -130,19 +136,35 @@
 	}
 }
 
+func (p *Peers) take(b []byte) error {
+	if p.other != nil && len(b) > 0 && b[0] == p.mark {
+		return p.other(b)
+	}
+	msg, err := membership.Parse(b)
+	if err == nil {
+		p.handle(membership.Received{Msg: msg})
+	}
+	return err
+}
+
 func (p *Peers) handle(ev membership.Event) {
 	for _, s := range p.node.Handle(p.loop.Now(), ev) {
-		to, ok := p.addrs[s.To]
-		if !ok {
-			p.drop("peer message not sent", fmt.Errorf("no address of %s", s.To))
-			continue
-		}
-		if err := loop.SendTo(p.src.FD(), membership.Append(nil, s.Msg), to); err != nil {
-			p.counts.Dropped++ // as if lost on its way
-			continue
-		}
-		p.counts.Sent++
+		p.Send(s.To, membership.Append(nil, s.Msg))
+	}
+}
+
+// Send sends a message to a member.
+func (p *Peers) Send(name string, b []byte) {
+	to, ok := p.addrs[name]
+	if !ok {
+		p.drop("peer message not sent", fmt.Errorf("no address of %s", name))
+		return
+	}
+	if err := loop.SendTo(p.src.FD(), b, to); err != nil {
+		p.counts.Dropped++ // as if lost on its way
+		return
 	}
+	p.counts.Sent++
 }
 
 // logEvery: messages that can't be read or sent are told of so often.
