--- a/cmd/ferrylab/chaos.go
+++ b/cmd/ferrylab/chaos.go
@@ -29,7 +29,7 @@
 			"Faults:\n" + list.String()}
 	f := c.Flags()
 	f.IntVar(&members, "members", 5, "ingresses")
-	f.StringVar(&fault, "fault", "all", "`NAME` of a fault, or all in turn")
+	f.StringVar(&fault, "fault", "all", "`NAME` of a fault, all in turn, or rollout: new settings given to one member, through three faults")
 	f.IntVar(&seconds, "seconds", 0, "length of the fault (default: its own)")
 	f.Float64Var(&rate, "rate", 120, "requests a second within quotas")
 	f.BoolVar(&p.asJSON, "json", false, "print figures as JSON, a line a fault")
@@ -39,7 +39,11 @@
 			return err
 		}
 		defer done()
-		if fault != "all" {
+		switch fault {
+		case "all":
+		case "rollout":
+			names = lab.Rollouts()
+		default:
 			names = []string{fault}
 		}
 		for _, name := range names {
--- a/internal/lab/chaos.go
+++ b/internal/lab/chaos.go
@@ -40,11 +40,19 @@
 	DownRequests  int      `json:"down_requests"` // that met a member which was down
 	Faults        []string `json:"faults,omitempty"`
 	Error         string   `json:"error,omitempty"`
+
+	// Of a rollout: the longest time for which two members that served acted on versions of which neither knew the
+	// other's, members that did not act on the new one at the fault's end, and versions turned down.
+	ContradictionMS *float64 `json:"contradiction_ms,omitempty"`
+	StaleMembers    *int     `json:"stale_members,omitempty"`
+	Rejected        *int     `json:"rejected,omitempty"`
+	AgreedMS        *float64 `json:"agreed_ms,omitempty"` // from the fault's end until all act on the new one alone
 }
 
 // Failed tells whether a rule was broken or the experiment did not go as it must.
 func (r ChaosReport) Failed() bool {
 	return r.Error != "" || r.CeilingBreaks+r.OverrunHosts+r.Lost+r.Doubled+r.LateSends > 0 ||
+		r.ContradictionMS != nil && *r.ContradictionMS > contradictionMost(r.Members) ||
 		(r.Fault == "loss" || r.Fault == "delay") && r.FalseDead > 0 || r.Fault == "kill" && *r.DetectMS >= detectMost
 }
 
@@ -58,6 +66,7 @@
 	length      time.Duration
 	begin       func(*swarm) (end func())
 	gone        func(s *swarm, observer, member int) bool
+	version     int // of the settings that the fleet begins with; 0: they have none
 }
 
 // Disorders names the faults, with what each does.
@@ -71,35 +80,35 @@
 func disorders() []disorder {
 	half := func(s *swarm, a, b int) bool { return a < s.n/2 != (b < s.n/2) }
 	return []disorder{
-		{"kill", "SIGKILL of a third", 6 * time.Second, func(s *swarm) func() {
+		{name: "kill", about: "SIGKILL of a third", length: 6 * time.Second, begin: func(s *swarm) func() {
 			for i := range s.third() {
 				s.down(i)
 				s.world.Ingresses[i].Kill()
 			}
 			return func() {}
-		}, func(s *swarm, o, m int) bool { return o >= s.third() && m < s.third() }},
-		{"pause", "SIGSTOP of one, then SIGCONT", 5 * time.Second, func(s *swarm) func() {
+		}, gone: func(s *swarm, o, m int) bool { return o >= s.third() && m < s.third() }},
+		{name: "pause", about: "SIGSTOP of one, then SIGCONT", length: 5 * time.Second, begin: func(s *swarm) func() {
 			s.signal(0, syscall.SIGSTOP)
 			return func() { s.signal(0, syscall.SIGCONT) }
-		}, func(_ *swarm, o, m int) bool { return o != 0 && m == 0 }},
-		{"partition", "two halves, healed", 10 * time.Second, func(s *swarm) func() {
+		}, gone: func(_ *swarm, o, m int) bool { return o != 0 && m == 0 }},
+		{name: "partition", about: "two halves, healed", length: 10 * time.Second, begin: func(s *swarm) func() {
 			s.cut = func(a, b int) bool { return half(s, a, b) }
 			s.links.Set(s.cut, 0, 0)
 			return s.heal
-		}, half},
-		{"oneway", "the first hears the second, the second not the first", 8 * time.Second, func(s *swarm) func() {
+		}, gone: half},
+		{name: "oneway", about: "the first hears the second, the second not the first", length: 8 * time.Second, begin: func(s *swarm) func() {
 			s.links.Set(func(from, to int) bool { return from == 0 && to == 1 }, 0, 0)
 			return s.heal
-		}, nil},
-		{"loss", "30% of the messages dropped", 10 * time.Second, func(s *swarm) func() {
+		}},
+		{name: "loss", about: "30% of the messages dropped", length: 10 * time.Second, begin: func(s *swarm) func() {
 			s.links.Set(nil, 0.3, 0)
 			return s.heal
-		}, nil},
-		{"delay", "200 ms added to each message", 10 * time.Second, func(s *swarm) func() {
+		}},
+		{name: "delay", about: "200 ms added to each message", length: 10 * time.Second, begin: func(s *swarm) func() {
 			s.links.Set(nil, 0, 200*time.Millisecond)
 			return s.heal
-		}, nil},
-		{"flap", "one stopped and going on, a second each", 8 * time.Second, func(s *swarm) func() {
+		}},
+		{name: "flap", about: "one stopped and going on, a second each", length: 8 * time.Second, begin: func(s *swarm) func() {
 			stop, done := make(chan struct{}), make(chan struct{})
 			go func() {
 				defer close(done)
@@ -116,7 +125,7 @@
 				}
 			}()
 			return func() { close(stop); <-done }
-		}, nil},
+		}},
 	}
 }
 
@@ -128,6 +137,8 @@
 	links   *standin.Links
 	cut     func(a, b int) bool // the split that there is, nil: none
 	clients []*standin.Clients
+	// newRules is when all had agreed on stricter settings that were rolled out, zero: none were.
+	newRules time.Time
 
 	mu     sync.Mutex
 	spells []spell
@@ -155,12 +166,16 @@
 	}
 	_ = syscall.Kill(s.world.Ingresses[member].Cmd.Process.Pid, sig)
 	if sig == syscall.SIGCONT {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for i := range s.spells {
-			if p := &s.spells[i]; p.member == member && p.to.IsZero() {
-				p.to = time.Now()
-			}
+		s.up(member)
+	}
+}
+
+func (s *swarm) up(member int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.spells {
+		if p := &s.spells[i]; p.member == member && p.to.IsZero() {
+			p.to = time.Now()
 		}
 	}
 }
@@ -197,7 +212,7 @@
 	return !s.wasDown(member, now, now.Add(time.Nanosecond))
 }
 
-func newSwarm(set Setup, n int) (*swarm, error) {
+func newSwarm(set Setup, n, version int) (*swarm, error) {
 	if set.Say == nil {
 		set.Say = func(string, ...any) {}
 	}
@@ -210,7 +225,7 @@
 		return nil, err
 	}
 	shape := standin.Shape{Hosts: 8, Ingresses: n, Work: 30 * time.Millisecond, Settings: "membership: enabled: true\n",
-		Links: s.links, Sockets: 512}
+		Links: s.links, Sockets: 512, Version: version}
 	if s.world, err = standin.NewWorld(dir, shape); err != nil {
 		s.links.Close()
 		return nil, err
@@ -297,7 +312,7 @@
 func (c Chaos) Run() (ChaosReport, error) {
 	r := ChaosReport{Members: c.Members, Fault: c.Fault}
 	var d disorder
-	for _, o := range disorders() {
+	for _, o := range append(disorders(), rollouts()...) {
 		if o.name == c.Fault {
 			d = o
 		}
@@ -308,7 +323,7 @@
 	if c.Members < 2 || c.Members > membersMost {
 		return r, fmt.Errorf("%d members, need 2 to %d", c.Members, membersMost)
 	}
-	s, err := newSwarm(c.Setup, c.Members)
+	s, err := newSwarm(c.Setup, c.Members, d.version)
 	if err != nil {
 		return r, err
 	}
@@ -338,6 +353,9 @@
 	time.Sleep(length / 2)
 	s.world.Discovery.Set(s.world.Hosts[0], "Terminating") // and one drains in the middle of it
 	time.Sleep(length - length/2)
+	if d.version > 0 {
+		s.stale(&r)
+	}
 	over()
 	healed := time.Now()
 	r.Seconds = healed.Sub(began).Seconds()
@@ -346,10 +364,16 @@
 		r.Error = err.Error()
 	}
 	r.HealMS = float64(time.Since(healed).Microseconds()) / 1e3
+	if d.version > 0 {
+		s.agreed(&r, d.version+1, healed)
+	}
 	time.Sleep(time.Second)
 	end()
 	end = func() {}
 	s.judge(&r, d, began, healed)
+	if d.version > 0 {
+		s.contradictions(&r)
+	}
 	return r, nil
 }
 
--- a/internal/lab/chaos_test.go
+++ b/internal/lab/chaos_test.go
@@ -17,7 +17,7 @@
 // three is a fleet of three processes that agree.
 func three(t *testing.T) *swarm {
 	t.Parallel()
-	s, err := newSwarm(setup(t), 3)
+	s, err := newSwarm(setup(t), 3, 0)
 	require.NoError(t, err)
 	t.Cleanup(s.close)
 	require.NoError(t, s.agree())
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -156,6 +156,12 @@
 // account judges the record. What a member had taken that was down meanwhile is its clients' to ask again.
 func (s *swarm) account(r *ChaosReport) {
 	v := s.world.Record.Check(ceilingRules(greedy))
+	if !s.newRules.IsZero() {
+		rules := ceilingRules(greedy)
+		rules.CeilingRate, rules.CeilingBurst, rules.CeilingSlack = rules.CeilingRate/2, rules.CeilingBurst/2, rules.CeilingSlack/2
+		rules.From = s.newRules
+		v.CeilingBreaks += s.world.Record.Check(rules).CeilingBreaks
+	}
 	r.CeilingBreaks, r.OverrunHosts, r.LateSends, r.Faults = v.CeilingBreaks, v.OverrunHosts, v.LateSends, v.Faults
 	r.Doubled = v.ForbiddenRepeats + v.SecondCopies
 	ran := map[string]int{}
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -104,6 +104,7 @@
 	// Ceiling of each of Customers, all ingresses together.
 	CeilingRate, CeilingBurst, CeilingSlack float64
 	Customers                               []string
+	From                                    time.Time // earlier runs are not counted against it
 }
 
 // Verdict is what a record comes to.
@@ -211,7 +212,7 @@
 	slack := rules.CeilingSlack + 0.15*rules.CeilingRate
 	for _, run := range runs {
 		s := stores[run.Customer]
-		if s == nil || s.seen[run.ID] {
+		if s == nil || s.seen[run.ID] || run.At.Before(rules.From) {
 			continue
 		}
 		s.seen[run.ID] = true
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -28,7 +28,9 @@
 	Name, Addr, Control, Binary, Log string
 	Args                             []string
 	env                              []string
-	Cmd                              *exec.Cmd // the first process
+	config                           string         // path of its configuration,
+	told                             map[string]any // and what that says
+	Cmd                              *exec.Cmd      // the first process
 	ended                            chan struct{}
 }
 
@@ -39,6 +41,7 @@
 	Plans            []map[string]any // as in an ingress's settings; nil: one that hardly limits, one with a ceiling
 	Settings         string           // text of the program's own settings beyond the control socket
 	Sockets          int
+	Version          int    // of the settings; 0: they have none
 	Links            *Links // between ingresses that talk; nil: they do not
 	Bare             bool   // without settings of the program's own, and so without a control socket
 }
@@ -124,6 +127,9 @@
 			"limits":         map[string]any{"maxAttempts": 3, "cancelling": true, "dialTimeout": 250, "idleClose": 15000, "maxRetryAfter": 2000},
 			"rules":          map[string]any{"answerSlack": 16, "drainGrace": 500, "cold": 8000, "coldFrom": 0.2, "tipMultiple": 2, "fall": 3000},
 			"prices":         map[string]any{"crossZone": 0.01}}}
+	if s.Version > 0 {
+		c["settings_version"] = s.Version
+	}
 	if s.Links != nil {
 		c["peer_listen"], c["peers"] = s.Links.Listen(me), s.Links.Peers(me)
 	}
@@ -146,18 +152,15 @@
 	if err := in.Install(binary); err != nil {
 		return nil, err
 	}
-	raw, err := json.Marshal(w.Config(in.Name, in.Addr, me, s))
-	if err != nil {
-		return nil, err
-	}
-	config, own := filepath.Join(dir, "config.json"), filepath.Join(dir, "own.cue")
-	if err := os.WriteFile(config, raw, 0o600); err != nil {
+	in.told, in.config = w.Config(in.Name, in.Addr, me, s), filepath.Join(dir, "config.json")
+	own := filepath.Join(dir, "own.cue")
+	if err := in.Configure(func(map[string]any, map[string]any) {}); err != nil {
 		return nil, err
 	}
 	if err := os.WriteFile(own, fmt.Appendf(nil, "control: %q\n%s", in.Control, s.Settings), 0o600); err != nil {
 		return nil, err
 	}
-	in.env = append(os.Environ(), "GW_CONFIG="+config)
+	in.env = append(os.Environ(), "GW_CONFIG="+in.config)
 	if in.Args = []string{"serve", "--config", own}; s.Bare {
 		in.Args = in.Args[:1]
 	}
@@ -168,6 +171,20 @@
 	return in, in.Ready(10 * time.Second)
 }
 
+// Configure changes the ingress's configuration, and its settings, on disk. SIGHUP has a process read it.
+func (in *Ingress) Configure(change func(config, settings map[string]any)) error {
+	change(in.told, in.told["settings"].(map[string]any))
+	raw, err := json.Marshal(in.told)
+	if err != nil {
+		return err
+	}
+	next := in.config + ".next"
+	if err := os.WriteFile(next, raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, in.config)
+}
+
 // Again starts an ingress that has ended once more, as it was started first.
 func (w *World) Again(i int) error {
 	in := w.Ingresses[i]
