Drained hosts: a list of the operators' with a version of its own, agreed on by the fleet

Need: a list must have a version apart from the settings', and a drain hold from the first version that names a host. Design: a second document of the versions core; of versions acted on together all hosts named are drained. The watcher tells the module of them as draining whatever discovery says, within the turn; a successor is told what discovery says. Works without membership by each ingress's own file. Measured: process tests with three processes (all reached, still drained while one is cut off, older turned down).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,7 +5,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -18,7 +17,6 @@
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/discovery"
 	"ferryfront.example/ferryfront/internal/settings"
-	"ferryfront.example/ferryfront/internal/versions"
 )
 
 // Config is one ingress's configuration.
@@ -31,8 +29,10 @@
 	Cores                            float64
 	Known                            discovery.List
 	Settings                         admission.Settings
-	Version                          uint64 // of the settings, above 0; 0: they have none
-	Shared                           []byte // what of them all ingresses have in common; nil without a version
+	Version                          uint64   // of the settings, above 0; 0: they have none
+	Drained                          []string // hosts that the operators drain, whatever discovery says
+	DrainedVersion                   uint64   // of that list, above 0; 0: there is none
+	Shared                           []byte   // what of them all ingresses have in common; nil without a version
 	Limits                           limits.Limits
 
 	keys   []string // that a file for a reload must have, too
@@ -111,15 +111,19 @@
 	if c.Settings, err = settings.Read(set); err != nil {
 		return none, err
 	}
-	if v := r.Float("settings_version"); v != 0 {
-		if v < 1 || v > versions.NumberMost || v != math.Trunc(v) {
-			return none, fmt.Errorf("settings_version is %v, need a whole number from 1 to %d", v, versions.NumberMost)
+	if r.Has("settings_version") {
+		if c.Version, err = number(r, "settings_version"); err != nil {
+			return none, err
 		}
-		c.Version = uint64(v)
 		if c.Shared, err = settings.Shared(doc.Get("settings").MarshalTo(nil)); err != nil {
 			return none, err
 		}
 	}
+	if r.Has("drained") {
+		if c.Drained, c.DrainedVersion, err = drained(r.Object("drained")); err != nil {
+			return none, err
+		}
+	}
 	if c.Known, err = discovery.ReadList(r.Object("known")); err != nil {
 		return none, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -61,12 +61,17 @@
 		"settings_version is -1":        {`"seed"`, `"settings_version":-1,"seed"`},
 		"settings_version is 4.294967296e+09, need a whole number from 1 to 4294967295": {`"seed"`,
 			`"settings_version":4294967296,"seed"`},
-		"settings_version is no number": {`"seed"`, `"settings_version":"7","seed"`},
-		"peer_listen: ":                 {`"seed"`, `"peer_listen":"here","seed"`},
-		"peers[1]: ":                    {`"seed"`, `"peers":["127.0.0.5:7946","there"],"seed"`},
-		"peers holds what is no text":   {`"seed"`, `"peers":[7946],"seed"`},
-		"peers is no list":              {`"seed"`, `"peers":"127.0.0.5:7946","seed"`},
-		"known.servers[0].id is missi":  {`"id":"s-1",`, ``},
+		"settings_version is no number":       {`"seed"`, `"settings_version":"7","seed"`},
+		"drained.hosts is missing":            {`"seed"`, `"drained":{"version":1},"seed"`},
+		"drained.version is 0, need":          {`"seed"`, `"drained":{"version":0,"hosts":[]},"seed"`},
+		"drained.host is no field":            {`"seed"`, `"drained":{"version":1,"hosts":[],"host":[]},"seed"`},
+		"drained is no object":                {`"seed"`, `"drained":["s-1"],"seed"`},
+		"drained.hosts holds what is no text": {`"seed"`, `"drained":{"version":1,"hosts":[1]},"seed"`},
+		"peer_listen: ":                       {`"seed"`, `"peer_listen":"here","seed"`},
+		"peers[1]: ":                          {`"seed"`, `"peers":["127.0.0.5:7946","there"],"seed"`},
+		"peers holds what is no text":         {`"seed"`, `"peers":[7946],"seed"`},
+		"peers is no list":                    {`"seed"`, `"peers":"127.0.0.5:7946","seed"`},
+		"known.servers[0].id is missi":        {`"id":"s-1",`, ``},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, change[0], change[1], 1)), env(nil))
 		require.ErrorContains(t, err, says)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,6 +51,7 @@
 	Stale    []string `json:"settings_stale"`  // members not known to act on the newest
 	Rejected []string `json:"settings_rejected"`
 	CutOff   bool     `json:"settings_cut_off"`
+	Drained  []string `json:"drained"` // hosts that the operators drain, by any version of their list that is acted on
 }
 
 // Member is one ingress as another holds it.
@@ -168,7 +169,7 @@
 	case "status":
 		_ = out.Encode(c.status())
 	case "members":
-		m := Members{Members: []Member{}, Absent: []int{}, Acting: []uint64{}, Stale: []string{}, Rejected: []string{}}
+		m := Members{Members: []Member{}, Absent: []int{}, Acting: []uint64{}, Stale: []string{}, Rejected: []string{}, Drained: []string{}}
 		_ = out.Encode(onLoop(c.d, m, func() Members { return c.d.view(m) }))
 	case "leave":
 		leave := c.d.leave
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -237,6 +237,7 @@
 		d.counter.SetSink(d.core)
 	}
 	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known, cfg.Seed)
+	d.watcher.Drain(cfg.Drained)
 	d.server = downstream.New(l, cfg.Limits, d.log)
 	first := platform.New(d.core, cfg.Settings, d.known)
 	d.fronts = append(d.fronts, opening{cfg.Listen, first, func() {}, first.Follow})
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -54,9 +54,7 @@
 	d := o.d
 	room = d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
-	if f := d.version(); f.Newest > 0 {
-		room = figures.AppendRules(room, f)
-	}
+	room = figures.AppendRules(room, d.version())
 	if d.members == nil {
 		return room
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -130,15 +130,18 @@
 	v, c := m.Node().View(), m.Counts()
 	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
-	if r := m.rules; r != nil {
-		for _, doc := range r.Acting() {
+	if r := m.rules; r != nil && r.settings != nil {
+		for _, doc := range r.settings.Acting() {
 			to.Acting = append(to.Acting, doc.Number)
 		}
-		to.Stale, to.CutOff = append(to.Stale, r.Stale()...), r.Alone(d.loop.Now())
-		for v, why := range r.Refused() {
+		to.Stale, to.CutOff = append(to.Stale, r.settings.Stale()...), r.settings.Alone(d.loop.Now())
+		for v, why := range r.settings.Refused() {
 			to.Rejected = append(to.Rejected, fmt.Sprintf("%v: %s", v, why))
 		}
 	}
+	if r := m.rules; r != nil && r.drained != nil {
+		to.Drained = append(to.Drained, r.hosts()...)
+	}
 	for _, o := range v.Members {
 		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
 	}
--- a/internal/daemon/rules.go
+++ b/internal/daemon/rules.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -12,30 +13,53 @@
 	"ferryfront.example/ferryfront/internal/versions"
 )
 
-// rules is the daemon's part in the agreement on the settings' version, where members talk and the settings have one.
+// rules is the daemon's part in the agreement on versions, where members talk: of the settings, and of the list of
+// hosts that the operators drain. Either is nil where the configuration has no version of it.
 type rules struct {
-	*versions.Node
+	settings *versions.Node
+	drained  *versions.Node
 	ready    bool // this ingress may serve: it has heard what others act on, or has waited for it
-	rejected uint64
-	told     []versions.Version // the versions acted on, as last logged
+	rejected int
+	told     map[*versions.Node][]versions.Version // the versions acted on, as last logged
 }
 
-// textMost bounds the shared part of settings, in bytes.
+// textMost bounds a document, in bytes.
 const textMost = 64 << 10
 
-// openRules begins with the version of the file.
+// nodes are those that there are.
+func (r *rules) nodes() (list []*versions.Node) {
+	for _, n := range []*versions.Node{r.settings, r.drained} {
+		if n != nil {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// openRules begins with the versions of the file.
 func (d *Daemon) openRules(now time.Duration) {
 	cfg, lim := d.cfg, d.cfg.Limits
-	if cfg.Version == 0 {
+	if cfg.Version == 0 && cfg.DrainedVersion == 0 {
 		return
 	}
-	d.members.rules = &rules{Node: versions.New(versions.Config{Me: d.members.me, Doc: "settings", Seed: cfg.Seed + uint64(cfg.Settings.Me),
-		Period: lim.MemberPeriod, AskAgain: lim.MemberAck, Lease: time.Duration(cfg.Settings.Gateways+1) * lim.MemberPeriod,
-		TextMost: textMost, PieceMost: membership.Datagram - versions.Overhead - len("settings") - len(d.members.me),
-		Check: func(text []byte) error {
+	node := func(doc string, first versions.Doc, check func([]byte) error) *versions.Node {
+		if first.Number == 0 {
+			return nil
+		}
+		return versions.New(versions.Config{Me: d.members.me, Doc: doc, Seed: cfg.Seed + uint64(cfg.Settings.Me),
+			Period: lim.MemberPeriod, AskAgain: lim.MemberAck, Check: check, TextMost: textMost,
+			Lease:     time.Duration(cfg.Settings.Gateways+1) * lim.MemberPeriod,
+			PieceMost: membership.Datagram - versions.Overhead - len(doc) - len(d.members.me)}, first, now)
+	}
+	d.members.rules = &rules{told: map[*versions.Node][]versions.Version{},
+		settings: node("settings", versions.NewDoc(cfg.Version, cfg.Shared), func(text []byte) error {
 			_, err := d.told.Under(text)
 			return err
-		}}, versions.NewDoc(cfg.Version, cfg.Shared), now)}
+		}),
+		drained: node("drained", versions.NewDoc(cfg.DrainedVersion, cfg.DrainedText()), func(text []byte) error {
+			_, err := config.ReadDrained(text)
+			return err
+		})}
 }
 
 // rulesTold takes a message of another member.
@@ -45,7 +69,9 @@
 		return err
 	}
 	if m := d.members; m != nil && m.rules != nil {
-		d.rulesSend(m.rules.Handle(msg, d.loop.Now()))
+		for _, n := range m.rules.nodes() {
+			d.rulesSend(n.Handle(msg, d.loop.Now()))
+		}
 		d.rulesChanged()
 	}
 	return nil
@@ -66,12 +92,15 @@
 			others = append(others, o.Name)
 		}
 	}
-	r := m.rules
-	d.rulesSend(r.Fleet(others, now))
-	d.rulesSend(r.Tick(now))
-	if !r.ready && r.Ready(now) {
-		r.ready = true
-		d.log.Info("settings version heard", "alone", r.Alone(now))
+	ready, alone := true, false
+	for _, n := range m.rules.nodes() {
+		d.rulesSend(n.Fleet(others, now))
+		d.rulesSend(n.Tick(now))
+		ready, alone = ready && n.Ready(now), alone || n.Alone(now)
+	}
+	if !m.rules.ready && ready {
+		m.rules.ready = true
+		d.log.Info("settings version heard", "alone", alone)
 	}
 	d.rulesChanged()
 }
@@ -79,34 +108,56 @@
 // rulesChanged goes on under the versions to act on, when these are others than before.
 func (d *Daemon) rulesChanged() {
 	r := d.members.rules
-	for v, why := range r.Refused() {
-		if n := uint64(len(r.Refused())); n > r.rejected {
-			r.rejected = n
-			d.log.Error("settings version turned down", "version", v.String(), "error", why)
+	rejected := 0
+	for _, n := range r.nodes() {
+		rejected += len(n.Refused())
+	}
+	if rejected > r.rejected {
+		for _, n := range r.nodes() {
+			for v, why := range n.Refused() {
+				d.log.Error("settings version turned down", "of", n.Document(), "version", v.String(), "error", why)
+			}
 		}
 	}
-	if !r.Changed() {
-		return
+	r.rejected = rejected
+	if d.rulesMoved(r.settings, "settings version") {
+		to, err := d.combined(d.told)
+		if err != nil { // each was checked when it was taken
+			d.log.Error("settings version not acted on", "error", err)
+		} else {
+			d.follow(to)
+		}
+	}
+	if d.rulesMoved(r.drained, "drained list version") {
+		d.watcher.Drain(r.hosts())
+	}
+}
+
+// rulesMoved tells whether a node acts on other versions than before, and logs it. What it begins with is in force.
+func (d *Daemon) rulesMoved(n *versions.Node, what string) bool {
+	if n == nil || !n.Changed() {
+		return false
 	}
 	var acting []versions.Version
-	for _, doc := range r.Acting() {
+	for _, doc := range n.Acting() {
 		acting = append(acting, doc.Version)
 	}
-	if slices.Equal(acting, r.told) {
-		return
-	}
-	begun := r.told == nil
-	r.told = acting
-	d.log.Info("settings version", "acting", numbers(acting), "newest", r.Newest().String())
-	if begun {
-		return
+	was, begun := d.members.rules.told[n]
+	if slices.Equal(acting, was) {
+		return false
 	}
-	to, err := d.combined(d.told)
-	if err != nil { // each was checked when it was taken
-		d.log.Error("settings version not acted on", "error", err)
-		return
+	d.members.rules.told[n] = acting
+	d.log.Info(what, "acting", numbers(acting), "newest", n.Newest().String())
+	return begun
+}
+
+// hosts are those that any version acted on drains: a drain holds from the first version that names it.
+func (r *rules) hosts() (all []string) {
+	for _, doc := range r.drained.Acting() {
+		hosts, _ := config.ReadDrained(doc.Text) // it was checked when it was taken
+		all = append(all, hosts...)
 	}
-	d.follow(to)
+	return all
 }
 
 func numbers(list []versions.Version) (text string) {
@@ -119,11 +170,14 @@
 	return text
 }
 
-// combined is a configuration under all versions to act on together, the newest one's but for what is stricter in
-// an older one.
+// combined is a configuration under all versions of the settings to act on together, the newest one's but for what is
+// stricter in an older one.
 func (d *Daemon) combined(of config.Config) (to config.Config, err error) {
-	docs := d.members.rules.Acting()
-	for i, doc := range docs {
+	if m := d.members; m == nil || m.rules == nil || m.rules.settings == nil {
+		of.Settings, err = settings.Follow(d.cfg.Settings, of.Settings)
+		return of, err
+	}
+	for i, doc := range d.members.rules.settings.Acting() {
 		c, err := of.Under(doc.Text)
 		if err != nil {
 			return to, err
@@ -137,49 +191,83 @@
 	return to, err
 }
 
-// offered takes a configuration read again, as far as its version goes, and returns what to go on under. An older
-// version never replaces a newer one, nor one of the same number with another content.
+// follows tells why a version in a file can't follow the one of the last file; 0: it has none.
+func follows(field string, was, now versions.Doc) error {
+	switch {
+	case was.Number == 0:
+		return nil
+	case now.Number == 0:
+		return fmt.Errorf("%s is missing, and %d is in force", field, was.Number)
+	}
+	if err := was.Follows(now.Version); err != nil {
+		return fmt.Errorf("%s: %w", field, err)
+	}
+	return nil
+}
+
+// offered takes a configuration read again, as far as its versions go, and returns what to go on under. An older
+// version never replaces a newer one, nor one of the same number with another content; then nothing is taken.
 func (d *Daemon) offered(to config.Config) (config.Config, error) {
-	if to.Version == 0 && d.told.Version == 0 {
-		var err error
-		to.Settings, err = settings.Follow(d.cfg.Settings, to.Settings)
+	set, list := versions.NewDoc(to.Version, to.Shared), versions.NewDoc(to.DrainedVersion, to.DrainedText())
+	was, wasList := versions.NewDoc(d.told.Version, d.told.Shared), versions.NewDoc(d.told.DrainedVersion, d.told.DrainedText())
+	m := d.members
+	fleet := m != nil && m.rules != nil
+	if fleet && m.rules.settings != nil {
+		was = m.rules.settings.Newest()
+	}
+	if fleet && m.rules.drained != nil {
+		wasList = m.rules.drained.Newest()
+	}
+	if err := errors.Join(follows("settings_version", was, set), follows("drained.version", wasList, list)); err != nil {
 		return to, err
 	}
-	if to.Version == 0 {
-		return to, fmt.Errorf("settings_version is missing, and %d is in force", d.told.Version)
+	if !fleet || m.rules.settings == nil {
+		now, err := d.combined(to)
+		if err == nil && (!fleet || m.rules.drained == nil) {
+			d.watcher.Drain(to.Drained)
+		}
+		if err != nil || !fleet {
+			return now, err
+		}
 	}
-	now := d.loop.Now()
-	if m := d.members; m != nil && m.rules != nil {
-		out, err := m.rules.Offer(versions.NewDoc(to.Version, to.Shared), now)
+	for _, offer := range []struct {
+		n   *versions.Node
+		doc versions.Doc
+	}{{m.rules.settings, set}, {m.rules.drained, list}} {
+		if offer.n == nil || offer.doc.Number == 0 {
+			continue
+		}
+		out, err := offer.n.Offer(offer.doc, d.loop.Now())
 		if err != nil {
-			return to, fmt.Errorf("settings_version: %w", err)
+			return to, fmt.Errorf("%s: %w", offer.n.Document(), err)
 		}
 		d.rulesSend(out)
-		return d.combined(to)
 	}
-	if was := versions.NewDoc(d.told.Version, d.told.Shared); d.told.Version > 0 {
-		if err := was.Follows(versions.NewDoc(to.Version, to.Shared).Version); err != nil {
-			return to, fmt.Errorf("settings_version: %w", err)
-		}
+	if m.rules.drained != nil {
+		d.watcher.Drain(m.rules.hosts())
 	}
-	var err error
-	to.Settings, err = settings.Follow(d.cfg.Settings, to.Settings)
-	return to, err
+	return d.combined(to)
 }
 
-// known tells whether requests may be served: the cluster is known, and so are the settings that others act on.
+// known tells whether requests may be served: the cluster is known, and so are the versions that others act on.
 func (d *Daemon) known() bool {
 	return d.watcher.Known() && (d.members == nil || d.members.rules == nil || d.members.rules.ready)
 }
 
-// version is what the door tells of the settings: their version, and whether all members act on it.
-func (d *Daemon) version() figures.Rules {
-	f := figures.Rules{Newest: d.told.Version, Oldest: d.told.Version, Acting: 1}
-	if m := d.members; m != nil && m.rules != nil {
-		r := m.rules
-		docs := r.Acting()
-		f = figures.Rules{Newest: r.Newest().Number, Oldest: docs[0].Number, Acting: len(docs), Stale: len(r.Stale()),
-			Rejected: len(r.Refused()), Alone: r.Alone(d.loop.Now())}
+// version is what the door tells of the settings, and of the list of drained hosts: their versions, and whether all
+// members act on them.
+func (d *Daemon) version() (f figures.Rules) {
+	f = figures.Rules{Newest: d.told.Version, Oldest: d.told.Version, Acting: 1, Drained: d.told.DrainedVersion}
+	m := d.members
+	if m == nil || m.rules == nil {
+		return f
+	}
+	if n := m.rules.drained; n != nil {
+		f.Drained, f.DrainedStale = n.Newest().Number, len(n.Stale())
+	}
+	if n := m.rules.settings; n != nil {
+		f.Newest, f.Oldest, f.Acting = n.Newest().Number, n.Acting()[0].Number, len(n.Acting())
+		f.Stale, f.Rejected, f.Alone = len(n.Stale()), len(n.Refused()), n.Alone(d.loop.Now())
 	}
 	return f
 }
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -63,10 +63,19 @@
 	Stale          int    // other members not known to act on the newest
 	Rejected       int    // versions turned down
 	Alone          bool   // no other member is heard
+	Drained        uint64 // newest version of the list of hosts drained by the operators, 0: there is none
+	DrainedStale   int    // other members not known to act on that
 }
 
 // AppendRules writes them in the same form.
 func AppendRules(b []byte, f Rules) []byte {
+	if f.Drained > 0 {
+		b = line(b, "drained_version", f.Drained)
+		b = line(b, "drained_stale_members", uint64(f.DrainedStale))
+	}
+	if f.Newest == 0 {
+		return b
+	}
 	b = line(b, "settings_version", f.Newest)
 	b = line(b, "settings_oldest_version", f.Oldest)
 	b = line(b, "settings_versions_acting", uint64(f.Acting))
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -42,11 +42,15 @@
 }
 
 func TestAppendRules(t *testing.T) {
-	require.Equal(t, `app_settings_version 9
+	require.Empty(t, AppendRules(nil, Rules{}))
+	require.Equal(t, `app_drained_version 5
+app_drained_stale_members 2
+app_settings_version 9
 app_settings_oldest_version 7
 app_settings_versions_acting 2
 app_settings_stale_members 3
 app_settings_versions_rejected 4
 app_settings_cut_off 1
-`, string(AppendRules(nil, Rules{Newest: 9, Oldest: 7, Acting: 2, Stale: 3, Rejected: 4, Alone: true})))
+`, string(AppendRules(nil, Rules{Newest: 9, Oldest: 7, Acting: 2, Stale: 3, Rejected: 4, Alone: true,
+		Drained: 5, DrainedStale: 2})))
 }
--- a/internal/lab/rollout_test.go
+++ b/internal/lab/rollout_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferryfront.example/ferryfront/internal/daemon"
+	"ferryfront.example/ferryfront/internal/standin"
 )
 
 // versioned is a fleet of three processes that agree, on version 1 of the settings.
@@ -143,7 +146,11 @@
 		{func(c, set map[string]any) { c["settings_version"], set["period"] = 2, 2 }, "another content"},
 		{func(c, set map[string]any) { c["settings_version"], set["period"] = 2.5, 1 }, "settings_version is 2.5"},
 		{func(c, _ map[string]any) { c["settings_version"] = "3" }, "settings_version is no number"},
-		{func(c, _ map[string]any) { delete(c, "settings_version") }, "settings_version is missing"},
+		{func(c, _ map[string]any) { c["settings_version"], c["drained"] = 3, []string{} }, "drained.hosts is missing"},
+		{func(c, _ map[string]any) {
+			delete(c, "settings_version")
+			c["drained"] = map[string]any{"version": 1, "hosts": []string{}}
+		}, "settings_version is missing"},
 		{func(c, set map[string]any) { c["settings_version"], set["classes"] = 3, []any{} }, "settings.classes"},
 	} {
 		require.NoError(t, in.Configure(bad.change))
@@ -155,10 +162,82 @@
 	}
 	raw, err := os.ReadFile(in.Log)
 	require.NoError(t, err)
-	require.Equal(t, 6, strings.Count(string(raw), "configuration not reloaded"))
+	require.Equal(t, 7, strings.Count(string(raw), "configuration not reloaded"))
 	s.served(t, 0)
 }
 
+// drain gives a member the next version of the list of hosts that the operators drain.
+func (s *swarm) drain(t *testing.T, member, version int, hosts ...string) {
+	t.Helper()
+	in := s.world.Ingresses[member]
+	require.NoError(t, in.Configure(func(config, _ map[string]any) {
+		config["drained"] = map[string]any{"version": version, "hosts": append([]string{}, hosts...)}
+	}))
+	require.NoError(t, in.Cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// drained waits until a member drains these hosts by the operators' list.
+func (s *swarm) drained(t *testing.T, member int, hosts ...string) {
+	t.Helper()
+	require.NoError(t, until("the list is acted on", func() bool {
+		m, err := s.members(member)
+		require.NoError(t, err)
+		slices.Sort(m.Drained)
+		return slices.Equal(slices.Compact(m.Drained), hosts)
+	}))
+}
+
+// used tells which hosts get requests that come through a member.
+func (s *swarm) used(t *testing.T, member, from, n int) map[string]bool {
+	t.Helper()
+	before := len(s.world.Record.Runs())
+	for i := range n {
+		s.clients[member].Do(standin.Ask{ID: fmt.Sprint("u", member, "-", from+i), Customer: standin.CustomerName(from + i),
+			Class: "stock", Plan: "boutique", Spread: s.n})
+	}
+	hosts := map[string]bool{}
+	for _, run := range s.world.Record.Runs()[before:] {
+		hosts[run.Host] = true
+	}
+	return hosts
+}
+
+// but is the list of all hosts but some.
+func but(hosts ...string) (list []string) {
+	for i := range 8 {
+		if name := fmt.Sprint("h", i); !slices.Contains(hosts, name) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// A list of hosts to drain, given to one member, holds at all from the first version that names a host; taken off the
+// list, a host is used again only once all members have that.
+func TestADrainedListReachesAll(t *testing.T) {
+	s := versioned(t)
+	s.drain(t, 0, 2, but("h7")...)
+	for i := range s.n {
+		s.drained(t, i, but("h7")...)
+		require.Equal(t, map[string]bool{"h7": true}, s.used(t, i, 200, 20))
+	}
+	s.links.Set(func(from, to int) bool { return from == 2 || to == 2 }, 0, 0)
+	s.drain(t, 0, 3, but("h3", "h7")...)
+	require.NoError(t, until("it is known here", func() bool { return s.logged(t, 1, "drained list version", "acting=2,3") }))
+	require.Equal(t, map[string]bool{"h7": true}, s.used(t, 0, 300, 20), "the third still drains the other")
+	s.heal()
+	for i := range s.n {
+		s.drained(t, i, but("h3", "h7")...)
+	}
+	s.drain(t, 1, 4, but("h3")...)
+	s.drained(t, 2, but("h3")...)
+	require.Equal(t, map[string]bool{"h3": true}, s.used(t, 2, 400, 20))
+	s.drain(t, 1, 2, "h7")
+	older := "drained.version: version 2 is older than 4"
+	require.NoError(t, until("it is turned down", func() bool { return s.logged(t, 1, "not reloaded", older) }))
+	s.drained(t, 1, but("h3")...)
+}
+
 // A member that is dead for good holds a rollout up until an operator says so at any other.
 func TestARolloutPastAMemberThatIsGoneForGood(t *testing.T) {
 	s := versioned(t)
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -82,6 +82,7 @@
 	rng   *rand.Rand // spreads what all ingresses of a fleet would do at one instant
 
 	known   map[string]Entry
+	drained map[string]bool // by the operators, whatever discovery says
 	version uint64
 	whole   bool // the next watch must begin with the whole list
 	told    bool // by discovery itself, since the start
@@ -185,7 +186,7 @@
 	}
 	named := map[string]bool{}
 	for _, e := range list.Entries {
-		news.Servers = append(news.Servers, e.ServerEntry)
+		news.Servers = append(news.Servers, w.held(e.ServerEntry))
 		named[e.Name] = true
 		if e.State == admission.Gone {
 			w.hosts.Gone(e.Name)
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -89,3 +89,40 @@
 		require.LessOrEqual(t, lim.ClusterSpread, 250*time.Millisecond)
 	}
 }
+
+// sink keeps the lists that it is told.
+type sink struct {
+	nobody
+	lists []admission.ServerList
+}
+
+func (s *sink) List(l admission.ServerList) { s.lists = append(s.lists, l) }
+
+// Hosts that the operators drain count as draining whatever discovery says, until they are taken off the list; what
+// discovery itself drains stays so.
+func TestOperatorsDrainHosts(t *testing.T) {
+	s := &sink{}
+	w := &Watcher{sink: s, hosts: s, known: map[string]Entry{}}
+	entry := func(name string, state admission.ServerState) Entry {
+		return Entry{Addr: "127.0.0.1:1", ServerEntry: admission.ServerEntry{Name: name, State: state}}
+	}
+	states := func() map[string]admission.ServerState {
+		got := map[string]admission.ServerState{}
+		for _, e := range s.lists[len(s.lists)-1].Servers {
+			got[e.Name] = e.State
+		}
+		return got
+	}
+	w.apply(List{Full: true, Entries: []Entry{entry("a", admission.Up), entry("b", admission.Up), entry("c", admission.Draining)}}, admission.ListChanges)
+	w.Drain([]string{"a", "c", "unknown"})
+	require.Equal(t, map[string]admission.ServerState{"a": admission.Draining}, states())
+	require.Equal(t, admission.ListChanges, s.lists[len(s.lists)-1].Kind)
+	w.apply(List{Full: true, Entries: []Entry{entry("a", admission.Up), entry("b", admission.Up)}}, admission.ListChanges)
+	require.Equal(t, map[string]admission.ServerState{"a": admission.Draining, "b": admission.Up}, states())
+	require.Equal(t, admission.Up, w.known["a"].State, "a successor is told what discovery says")
+	n := len(s.lists)
+	w.Drain([]string{"a"})
+	require.Len(t, s.lists, n, "nothing has changed")
+	w.Drain([]string{"b"})
+	require.Equal(t, map[string]admission.ServerState{"a": admission.Up, "b": admission.Draining}, states())
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,9 @@
 // Err is the first thing that was wrong.
 func (r Reader) Err() error { return *r.err }
 
+// Name is a field's full name.
+func (r Reader) Name(key string) string { return r.name(key) }
+
 func (r Reader) name(key string) string {
 	if key == "" || r.path == "" {
 		return r.path + key
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -129,6 +129,7 @@
 			"prices":         map[string]any{"crossZone": 0.01}}}
 	if s.Version > 0 {
 		c["settings_version"] = s.Version
+		c["drained"] = map[string]any{"version": s.Version, "hosts": []string{}}
 	}
 	if s.Links != nil {
 		c["peer_listen"], c["peers"] = s.Links.Listen(me), s.Links.Peers(me)
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -67,9 +67,10 @@
 type Kind int
 
 const (
-	Tell  Kind = iota // what its sender acts on
-	Pull              // send the piece At of Want
-	Piece             // the piece At of Want, of Total bytes in all
+	Tell   Kind = iota // what its sender acts on
+	Pull               // send the piece At of Want
+	Piece              // the piece At of Want, of Total bytes in all
+	Answer             // as Tell, and not answered itself
 )
 
 // Message is what goes between members.
@@ -77,7 +78,7 @@
 	Kind      Kind
 	From      string
 	Doc       string
-	Acting    []Version // of a Tell: what its sender acts on, the oldest first,
+	Acting    []Version // of a Tell or Answer: what its sender acts on, the oldest first,
 	Refused   Version   // and the newest that it turned down; zero: none
 	Want      Version
 	At, Total int
@@ -131,6 +132,9 @@
 // Acting returns the versions to act on, the oldest first. The caller must not change them.
 func (n *Node) Acting() []Doc { return n.acting }
 
+// Document is the name of what is agreed on.
+func (n *Node) Document() string { return n.cfg.Doc }
+
 // Newest is the newest of them.
 func (n *Node) Newest() Doc { return n.acting[len(n.acting)-1] }
 
@@ -278,7 +282,7 @@
 		return nil
 	}
 	switch m.Kind {
-	case Tell:
+	case Tell, Answer:
 		n.heard(m, now)
 	case Pull:
 		n.give(m)
@@ -303,14 +307,17 @@
 			n.pull = &pull{Version: newest, from: m.From}
 			n.ask(now)
 		}
-	case newest.Number < n.Newest().Number, !known, !slices.Equal(before.acting, m.Acting):
-		n.tell(m.From)
+	case m.Kind == Answer:
+	case newest.Number < n.Newest().Number, !known, !slices.Equal(before.acting, m.Acting), len(m.Acting) > 1:
+		n.say(Answer, m.From) // one that acts on several waits for a word of somebody, maybe ours
 	}
 }
 
-// tell says what this member acts on.
-func (n *Node) tell(to string) {
-	m := Message{Kind: Tell, Refused: n.worst}
+// tell says what this member acts on, and is answered where the other has news.
+func (n *Node) tell(to string) { n.say(Tell, to) }
+
+func (n *Node) say(kind Kind, to string) {
+	m := Message{Kind: kind, Refused: n.worst}
 	for _, d := range n.acting {
 		m.Acting = append(m.Acting, d.Version)
 	}
--- a/internal/versions/versions_test.go
+++ b/internal/versions/versions_test.go
@@ -290,9 +290,9 @@
 		version := func(label string) Version {
 			return Version{rapid.Uint64Range(1, NumberMost).Draw(t, label), rapid.Uint64().Draw(t, label)}
 		}
-		m := Message{Kind: Kind(rapid.IntRange(0, int(Piece)).Draw(t, "kind")), From: "299", Doc: "settings",
+		m := Message{Kind: Kind(rapid.IntRange(0, int(Answer)).Draw(t, "kind")), From: "299", Doc: "settings",
 			At: rapid.IntRange(0, 1<<30).Draw(t, "at"), Total: rapid.IntRange(0, 1<<30).Draw(t, "total")}
-		if m.Kind == Tell {
+		if m.Kind == Tell || m.Kind == Answer {
 			for range rapid.IntRange(1, actingMost).Draw(t, "acting") {
 				m.Acting = append(m.Acting, version("v"))
 			}
--- a/internal/versions/wire.go
+++ b/internal/versions/wire.go
@@ -75,7 +75,7 @@
 				return n, nil
 			}
 			switch {
-			case num == fKind && v > uint64(Piece):
+			case num == fKind && v > uint64(Answer):
 				return 0, fmt.Errorf("versions: field kind: %d not known", v)
 			case v > 1<<30:
 				return 0, fmt.Errorf("versions: field %d: %d is too large", num, v)
