Versions: both documents of a file are taken or neither; bounds stay through a rollout

Seen in a reading of the code: a file whose settings were taken and whose drained list had to wait was turned down with the settings in force; and a configuration under combined settings had its bounds made anew, without the program's own settings, so each rollout logged that limits need a restart. Lines at fault: daemon/rules.go, offered and combined. Change: what would have to wait is found out before either is offered; of the bounds only what follows from settings is taken over. The process tests look for the log line, and have a file cut short turned down.

--- a/internal/daemon/rules.go
+++ b/internal/daemon/rules.go
@@ -187,6 +187,9 @@
 		}
 		to = c
 	}
+	most := to.Limits.DrainMost // of the bounds, what follows from settings; the others are as the program's own say
+	to.Limits = of.Limits
+	to.Limits.DrainMost = most
 	to.Settings, err = settings.Follow(d.cfg.Settings, to.Settings)
 	return to, err
 }
@@ -230,13 +233,18 @@
 			return now, err
 		}
 	}
-	for _, offer := range []struct {
+	type offer struct {
 		n   *versions.Node
 		doc versions.Doc
-	}{{m.rules.settings, set}, {m.rules.drained, list}} {
-		if offer.n == nil || offer.doc.Number == 0 {
-			continue
+	}
+	offers := slices.DeleteFunc([]offer{{m.rules.settings, set}, {m.rules.drained, list}},
+		func(o offer) bool { return o.n == nil || o.doc.Number == 0 })
+	for _, o := range offers { // all or none: what can be wrong with the list alone is found out first
+		if o.n.Full() && o.doc.Version != o.n.Newest().Version {
+			return to, fmt.Errorf("%s: %w", o.n.Document(), versions.ErrRollouts)
 		}
+	}
+	for _, offer := range offers {
 		out, err := offer.n.Offer(offer.doc, d.loop.Now())
 		if err != nil {
 			return to, fmt.Errorf("%s: %w", offer.n.Document(), err)
--- a/internal/lab/rollout_test.go
+++ b/internal/lab/rollout_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -77,6 +78,9 @@
 	s.roll(1)
 	s.act(t, []uint64{2}, 0, 1, 2)
 	s.together(t)
+	for i := range s.n {
+		require.False(t, s.logged(t, i, "needs a restart"), "nothing but the settings has changed")
+	}
 }
 
 // In a split the new version joins the old one on the side that has it, and stands alone only when all have it.
@@ -160,9 +164,13 @@
 			require.Equal(t, []uint64{2}, s.acting(t, i))
 		}
 	}
+	require.NoError(t, os.Truncate(filepath.Join(s.world.Dir, in.Name, "config.json"), 200))
+	require.NoError(t, in.Cmd.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, until("cut short", func() bool { return s.logged(t, 0, "configuration not reloaded", "not JSON") }))
+	require.Equal(t, []uint64{2}, s.acting(t, 0))
 	raw, err := os.ReadFile(in.Log)
 	require.NoError(t, err)
-	require.Equal(t, 7, strings.Count(string(raw), "configuration not reloaded"))
+	require.Equal(t, 8, strings.Count(string(raw), "configuration not reloaded"))
 	s.served(t, 0)
 }
 
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -57,6 +57,9 @@
 	actingMost   = 10
 )
 
+// Full tells whether a version that is given to this member would have to wait.
+func (n *Node) Full() bool { return len(n.acting) >= rolloutsMost }
+
 // NumberMost is the highest number of a version.
 const NumberMost = 1<<32 - 1
 
@@ -200,7 +203,7 @@
 	switch {
 	case d.Version == n.Newest().Version:
 		return nil, nil
-	case len(n.acting) >= rolloutsMost:
+	case n.Full():
 		return nil, ErrRollouts
 	}
 	err := n.take(d)
