An upgrade keeps the place among the members: its new process has its share at once

Need: the new process of an upgrade began as one that others may have counted out, and cut every ceiling's store to nothing for a round trip; the stores then filled up from empty. Design: it goes on in place of a process that was settled and has not left, so nobody counts it out (Config.Assured); an upgrade is turned down while the running process has not settled itself.

Measured: a process test upgrades one of three; without the change the new process logs settled=false.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -51,6 +51,9 @@
 	// A later life must have the higher incarnation; where the clock was set back, the others' word raises it.
 	node := membership.New(membership.Config{Me: strconv.Itoa(me), Incarnation: uint64(max(1, time.Now().UnixMilli())),
 		Seed: cfg.Seed + uint64(me), Period: lim.MemberPeriod, AckWithin: lim.MemberAck, SuspectFor: lim.MemberSuspect,
+		// Whoever asks for an upgrade is turned down while this process is not settled; a process that the platform
+		// starts beside another can't be.
+		Assured: d.succ != nil && !d.beside,
 		Helpers: lim.MemberHelpers, Carry: lim.MemberCarry, Least: cfg.Settings.Gateways}, now)
 	node.Roster(roster, now)
 	m := &members{me: strconv.Itoa(me), states: map[string]membership.State{}}
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -63,6 +63,8 @@
 		return "the ingress is ending"
 	case d.pred.machine.UnderWay():
 		return "an upgrade is under way"
+	case d.members != nil && !d.members.Node().Settled(d.loop.Now()):
+		return "the membership has not settled"
 	case len(d.o.Command) == 0:
 		return "the path of the binary is not known"
 	}
--- a/internal/lab/chaos_test.go
+++ b/internal/lab/chaos_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -156,6 +158,27 @@
 	require.NoError(t, s.agree())
 }
 
+// An upgrade keeps the place: the new process is a member at once, with its share, and nobody holds it dead.
+func TestAnUpgradeKeepsThePlace(t *testing.T) {
+	s := three(t)
+	in := s.world.Ingresses[1]
+	ctx, cancel := context.WithTimeout(context.Background(), upgradeMost)
+	defer cancel()
+	unsure := func() int {
+		raw, err := os.ReadFile(in.Log)
+		require.NoError(t, err)
+		return strings.Count(string(raw), "settled=false")
+	}
+	before := unsure()
+	require.Equal(t, 1, before, "at its start it can't know")
+	_, err := daemon.Upgrade(ctx, in.Control, func(daemon.Progress) {})
+	require.NoError(t, err)
+	require.NoError(t, s.agree())
+	require.Equal(t, before, unsure())
+	require.Zero(t, s.times(t, "dead"))
+	s.served(t, 1)
+}
+
 // A whole experiment keeps the rules under load.
 func TestChaosKeepsTheRules(t *testing.T) {
 	t.Parallel()
--- a/internal/membership/share.go
+++ b/internal/membership/share.go
@@ -40,6 +40,9 @@
 	if n.left {
 		return false
 	}
+	if n.cfg.Assured { // nobody counts out who has not left
+		return true
+	}
 	if len(n.ms.view.Members) < n.cfg.Least { // it has not been told of all that may count it out
 		return false
 	}
--- a/internal/membership/swim.go
+++ b/internal/membership/swim.go
@@ -69,6 +69,7 @@
 	SuspectFor  time.Duration // suspicion unrefuted this long, with nothing heard, declares a member dead
 	Helpers     int           // members asked to probe for this node
 	Carry       int           // updates on one message, bounding its size
+	Assured     bool          // it goes on in place of a process of its name that was settled, and had not left
 	Least       int           // members that the settings name: never fewer share a budget, and all are to be known
 }
 
--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -353,3 +353,16 @@
 		require.Equal(t, 4, a.View().Count(Alive), name)
 	}
 }
+
+// A process that goes on in place of one that was settled has its share at once, and the view soon.
+func TestASuccessorHasItsShareAtOnce(t *testing.T) {
+	w := newNet(3, 6, 0, 5*ms)
+	w.run(3 * time.Second)
+	cfg := w.config("n1", 9000)
+	cfg.Assured = true
+	w.nodes["n1"] = New(cfg, w.now)
+	w.put("n1", w.nodes["n1"].Handle(w.now, Join{Seeds: []string{"n0"}}))
+	require.InDelta(t, 1.0/3, w.nodes["n1"].Share(w.now), 1e-9)
+	w.run(time.Second)
+	require.Equal(t, 3, w.nodes["n1"].View().Count(Alive))
+}
