Peers: who is not among the configured peers is not listened to

Seen in a reading of the change: the membership and the versions kept what each sender said by the name in its message, so noise with ever new names would have filled memory. Lines at fault: peers.take, rulesTold. Change: a sender without an address here is dropped and counted; it could not be answered anyway.

--- a/internal/daemon/rules.go
+++ b/internal/daemon/rules.go
@@ -69,6 +69,9 @@
 		return err
 	}
 	if m := d.members; m != nil && m.rules != nil {
+		if err := m.Knows(msg.From); err != nil {
+			return err
+		}
 		for _, n := range m.rules.nodes() {
 			d.rulesSend(n.Handle(msg, d.loop.Now()))
 		}
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -141,12 +141,24 @@
 		return p.other(b)
 	}
 	msg, err := membership.Parse(b)
+	if err == nil {
+		err = p.Knows(msg.From)
+	}
 	if err == nil {
 		p.handle(membership.Received{Msg: msg})
 	}
 	return err
 }
 
+// Knows tells why a sender is not listened to: who has no address here can't be answered, and whatever names come
+// must not fill memory.
+func (p *Peers) Knows(name string) error {
+	if _, ok := p.addrs[name]; !ok {
+		return fmt.Errorf("sender %.16q is not among peers", name)
+	}
+	return nil
+}
+
 func (p *Peers) handle(ev membership.Event) {
 	for _, s := range p.node.Handle(p.loop.Now(), ev) {
 		p.Send(s.To, membership.Append(nil, s.Msg))
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"log/slog"
 	"net"
 	"testing"
@@ -88,13 +89,18 @@
 	require.Positive(t, p.Counts().Got)
 }
 
-// A member whose address is not known can't be told anything; that is counted, and ends nothing.
-func TestWithoutAnAddress(t *testing.T) {
+// Who is not among the peers is not listened to, whatever names it has: that is counted, and fills no memory.
+func TestStrangersAreNotListenedTo(t *testing.T) {
 	l, err := loop.New()
 	require.NoError(t, err)
 	peer := other(t)
 	p, listen := open(t, l, 100, nil)
-	_, err = peer.WriteToUDP(membership.Append(nil, membership.Message{Kind: membership.Ping, From: "7", Seq: 1}), listen)
-	require.NoError(t, err)
-	nettest.Until(t, l, func() bool { return p.Counts().Got == 1 && p.Counts().Dropped > 0 })
+	for i := range 20 {
+		stranger := membership.Message{Kind: membership.Ping, From: fmt.Sprint("7", i), Seq: 1}
+		_, err = peer.WriteToUDP(membership.Append(nil, stranger), listen)
+		require.NoError(t, err)
+	}
+	nettest.Until(t, l, func() bool { return p.Counts().Dropped == 20 })
+	require.Zero(t, p.Counts().Got)
+	require.Len(t, p.Node().View().Members, 1)
 }
