--- a/internal/daemon/rules.go
+++ b/internal/daemon/rules.go
@@ -18,7 +18,8 @@
 type rules struct {
 	settings *versions.Node
 	drained  *versions.Node
-	ready    bool // this ingress may serve: it has heard what others act on, or has waited for it
+	seen     uint64 // version of the view that the nodes were last told of
+	ready    bool   // this ingress may serve: it has heard what others act on, or has waited for it
 	rejected int
 	told     map[*versions.Node][]versions.Version // the versions acted on, as last logged
 }
@@ -89,15 +90,20 @@
 // rulesTick lets time pass. Others that take part are all that have not left.
 func (d *Daemon) rulesTick(now time.Duration) {
 	m := d.members
-	var others []string
-	for _, o := range m.Node().View().Members {
-		if o.Name != m.me && o.State != membership.Left {
-			others = append(others, o.Name)
+	if v := m.Node().View(); v.Version != m.rules.seen {
+		m.rules.seen = v.Version
+		var others []string
+		for _, o := range v.Members {
+			if o.Name != m.me && o.State != membership.Left {
+				others = append(others, o.Name)
+			}
+		}
+		for _, n := range m.rules.nodes() {
+			d.rulesSend(n.Fleet(others, now))
 		}
 	}
 	ready, alone := true, false
 	for _, n := range m.rules.nodes() {
-		d.rulesSend(n.Fleet(others, now))
 		d.rulesSend(n.Tick(now))
 		ready, alone = ready && n.Ready(now), alone || n.Alone(now)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,9 +53,7 @@
 func (r Reader) Err() error { return *r.err }
 
 // Name is a field's full name.
-func (r Reader) Name(key string) string { return r.name(key) }
-
-func (r Reader) name(key string) string {
+func (r Reader) Name(key string) string {
 	if key == "" || r.path == "" {
 		return r.path + key
 	}
@@ -64,7 +62,7 @@
 
 func (r Reader) fail(key, format string, args ...any) {
 	if *r.err == nil {
-		*r.err = fmt.Errorf("%s %s", r.name(key), fmt.Sprintf(format, args...))
+		*r.err = fmt.Errorf("%s %s", r.Name(key), fmt.Sprintf(format, args...))
 	}
 }
 
@@ -169,14 +167,14 @@
 		r.fail(key, "is no object")
 		v = nil
 	}
-	return Reader{v: v, path: r.name(key), err: r.err}
+	return Reader{v: v, path: r.Name(key), err: r.err}
 }
 
 // List reads the objects of an array; absent is empty.
 func (r Reader) List(key string) []Reader {
 	var list []Reader
 	for i, v := range r.array(key) {
-		e := Reader{v: v, path: fmt.Sprintf("%s[%d]", r.name(key), i), err: r.err}
+		e := Reader{v: v, path: fmt.Sprintf("%s[%d]", r.Name(key), i), err: r.err}
 		if v.Type() != fastjson.TypeObject {
 			e.fail("", "is no object")
 			e.v = nil
