Tests: processes log to a file, so a line logged before an answer can be read after it

The daemon counts and logs in one turn (reload.go) and answers at the door after it; what lagged was the test's own copy of stderr through a pipe (world_test.go, lockedBuffer). Ruled out: a reload that logs nothing, as the fifth line is in the log printed at the end.

--- a/cmd/ferryfront/replace_test.go
+++ b/cmd/ferryfront/replace_test.go
@@ -37,7 +37,7 @@
 func (w *world) beside() *process {
 	w.t.Helper()
 	p := &process{cmd: exec.Command(binary, "serve"), door: free(w.t), done: make(chan struct{})}
-	p.cmd.Env, p.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_MGMT=" + p.door}, w.env...), &w.log
+	p.cmd.Env, p.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_MGMT=" + p.door}, w.env...), w.log.File
 	require.NoError(w.t, p.cmd.Start())
 	go func() { _ = p.cmd.Wait(); close(p.done) }()
 	w.t.Cleanup(func() {
--- a/cmd/ferryfront/settings_test.go
+++ b/cmd/ferryfront/settings_test.go
@@ -198,11 +198,10 @@
 	version(4)
 	w.told["settings_version"] = 3
 	require.False(t, w.reload())
-	says := func(text string) { w.until(func() bool { return strings.Contains(w.log.String(), text) }) }
-	says("version 3 is older than 4")
+	require.Contains(t, w.log.String(), "version 3 is older than 4")
 	w.told["settings_version"], w.settings()["period"] = 4, 5
 	require.False(t, w.reload())
-	says("another content")
+	require.Contains(t, w.log.String(), "another content")
 	w.settings()["period"] = 4
 	require.True(t, w.reload(), "the same once more")
 	version(4)
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -43,22 +42,23 @@
 	os.Exit(code)
 }
 
-// lockedBuffer is a log that is read while it is written.
-type lockedBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
+// logFile is what the processes of a test log to, without a pipe between: what one has logged before it answers
+// can be read once the answer has come.
+type logFile struct{ *os.File }
 
-func (l *lockedBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
+func logTo(t *testing.T) logFile {
+	f, err := os.OpenFile(filepath.Join(t.TempDir(), "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = f.Close() })
+	return logFile{f}
 }
 
-func (l *lockedBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
+func (l logFile) String() string {
+	raw, err := os.ReadFile(l.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
 }
 
 // world stands in for all that is around one daemon: upstream hosts, counter, discovery and clients.
@@ -80,7 +80,7 @@
 	path string // of the configuration
 	told obj    // what it says
 	cmd  *exec.Cmd
-	log  lockedBuffer
+	log  logFile
 	news chan string   // lines for the watches of discovery
 	over chan struct{} // closed at the end of the test
 
@@ -100,7 +100,7 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, hosts: map[string]http.HandlerFunc{}, news: make(chan string), over: make(chan struct{}),
-		ended: map[string]int{}, addrs: map[string]string{}}
+		log: logTo(t), ended: map[string]int{}, addrs: map[string]string{}}
 	var err error
 	w.numbers, err = standin.NewCounter()
 	require.NoError(t, err)
@@ -215,7 +215,7 @@
 	w.path, w.told = filepath.Join(w.t.TempDir(), "config.json"), config
 	w.configure()
 	w.cmd = exec.Command(binary, append([]string{"serve"}, w.args...)...)
-	w.cmd.Env, w.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, w.env...), &w.log
+	w.cmd.Env, w.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, w.env...), w.log.File
 	// A successor is of the same group, and outlives the process that the test knows.
 	w.cmd.SysProcAttr, w.cmd.WaitDelay = &syscall.SysProcAttr{Setpgid: true}, time.Second
 	require.NoError(w.t, w.cmd.Start())
