Module: less worth leaves room at the servers for more, however patient; waits fit with spare

At fault: route's 'wait > left' and pick's limit go by each request's own aim, so the class with the longer aim fills the servers further than the one with the shorter aim may join behind.

--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -14,6 +14,8 @@
 	budgetMost  = 10.0                  // and its most
 	waitX       = 4.0                   // times its expected time an attempt has before a further one
 	waitAim     = 0.6                   // of the aim left, too
+	waitSure    = 1.3                   // times the wait expected: what has to fit the time left, as waits vary
+	spareAim    = 0.3                   // of the aims of more worth: the wait that less worth may make longer
 	holdRecheck = 10 * time.Millisecond // how often the hold queue is looked at
 	holdAim     = 0.15                  // of an aim's worth of answers may wait in the hold queue
 	holdLeast   = 4.0                   // requests it may hold at any time
@@ -56,13 +58,27 @@
 			g.holdAt = g.now + holdRecheck
 			g.timer(timerHold, 0, g.holdAt)
 		}
-	case s == nil, wait > left && (len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
+	case s == nil, waitSure*wait > min(left, g.spare(r, s)) && (len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
 		g.giveUp(r)
 	default:
 		g.send(r, s, wait)
 	}
 }
 
+// spare is how long a request may wait for its answer among others of ours, so that those of more worth find
+// room: by their own aims the patient would fill all servers first, and the hasty never fit behind them. A server
+// with nothing out takes any, else nothing would tell that waits are short again; what may have run already is
+// let finish. It harms where little worth with much time comes in bursts that would fit between.
+func (g *Gateway) spare(r *request, s *server) float64 {
+	least := math.Inf(1)
+	for _, c := range g.s.Classes {
+		if c.stake() > r.class.stake() && !c.Gone && len(s.out) > 0 && g.mayRefuse(r) {
+			least = min(least, spareAim*c.Aim.Seconds())
+		}
+	}
+	return least
+}
+
 // mayHold: a bounded queue, and nobody stays in it who can't make the aim; else all would be late.
 func (g *Gateway) mayHold(r *request) bool {
 	left := (r.due - g.now).Seconds()
--- a/admission/servers.go
+++ b/admission/servers.go
@@ -53,27 +53,7 @@
 		}
 		return
 	}
-	if ev.Kind != ListChanges {
-		for _, s := range g.ring {
-			s.State = Gone
-		}
-	}
-	for _, e := range ev.Servers {
-		s := g.servers[e.Name]
-		if s == nil {
-			s = g.insert(e)
-		} else if e.Boot > s.Boot { // restarted within its id
-			s.coldAt, s.resp, s.bad, s.broken, s.ejected = e.Boot, 1, 0, 0, 0
-		}
-		s.ServerEntry = e
-	}
-	g.ring = slices.DeleteFunc(g.ring, func(s *server) bool {
-		if s.State != Gone || len(s.out) > 0 {
-			return false
-		}
-		delete(g.servers, s.Name)
-		return true
-	})
+	g.book(ev)
 	g.rank()
 	g.recheck()
 }
--- a/admission/util.go
+++ b/admission/util.go
@@ -85,6 +85,31 @@
 	return s
 }
 
+// book takes the entries of a list or of changes. One that is gone is forgotten once nothing is out there.
+func (g *Gateway) book(ev ServerList) {
+	if ev.Kind != ListChanges {
+		for _, s := range g.ring {
+			s.State = Gone
+		}
+	}
+	for _, e := range ev.Servers {
+		s := g.servers[e.Name]
+		if s == nil {
+			s = g.insert(e)
+		} else if e.Boot > s.Boot { // restarted within its id
+			s.coldAt, s.resp, s.bad, s.broken, s.ejected = e.Boot, 1, 0, 0, 0
+		}
+		s.ServerEntry = e
+	}
+	g.ring = slices.DeleteFunc(g.ring, func(s *server) bool {
+		if s.State != Gone || len(s.out) > 0 {
+			return false
+		}
+		delete(g.servers, s.Name)
+		return true
+	})
+}
+
 // begin books an attempt of a request at a server, from now on.
 func (g *Gateway) begin(r *request, s *server) {
 	r.sent = true
--- /dev/null
+++ b/admission/worth_test.go
@@ -0,0 +1,84 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// shapes are the classes of deployments in which worth and patience go together, and in which they do not.
+func shapes() map[string][]Class {
+	class := func(worth float64, aim time.Duration, effect Effect) Class {
+		return Class{Aim: aim, Deadline: 3 * time.Second, Worth: worth, Effect: effect}
+	}
+	return map[string][]Class{
+		"worth is hasty":   {class(1, 1200*ms, Safe), class(3, 800*ms, Unsafe)},
+		"worth is patient": {class(1, 600*ms, Safe), class(3, 1200*ms, Safe)},
+	}
+}
+
+func newShape(t *testing.T, classes []Class) *desk {
+	s := base()
+	s.Classes = classes
+	return newDesk(t, s, "a", "b")
+}
+
+// fill asks until the gateway sends no more, and tells how many went.
+func (d *desk) fill(first uint64, class int) (sent int) {
+	for id := first; id < first+20; id++ {
+		d.ask(id, class, free, 1)
+		sent += len(find[Send](d.look()))
+	}
+	return sent
+}
+
+// However patient a class is, it leaves room at every server for one of more worth, and is told so at once.
+func TestLessWorthLeavesRoomForMore(t *testing.T) {
+	for name, classes := range shapes() {
+		t.Run(name, func(t *testing.T) {
+			d := newShape(t, classes)
+			low := d.fill(1, 0)
+			require.GreaterOrEqual(t, low, 2, "one at each server")
+			require.Less(t, low, 6, "of the three that each may hold")
+			require.Empty(t, d.g.held, "none waits for room that is not for it")
+			require.Equal(t, 6-low, d.fill(100, 1), "the rest is for more worth")
+		})
+	}
+}
+
+// A class that was slow when last heard of is still tried where nothing else is out, so its times come right again.
+func TestLessWorthIsTriedWhereNothingIsOut(t *testing.T) {
+	for name, classes := range shapes() {
+		t.Run(name, func(t *testing.T) {
+			d := newShape(t, classes)
+			answer := func(id uint64, took time.Duration) bool {
+				d.ask(id, 0, free, 1)
+				sends := find[Send](d.look())
+				if len(sends) == 0 {
+					return false
+				}
+				d.wait(took)
+				d.do(AttemptEnded{ID: id, Attempt: 0, Outcome: OK, Took: took, Server: sends[0].Server, Done: true})
+				d.look()
+				return true
+			}
+			slow := classes[0].Aim * 4 / 10 // far over what it is left among others
+			for id := range uint64(20) {
+				require.True(t, answer(id+1, slow))
+			}
+			for id := range uint64(400) {
+				require.True(t, answer(id+100, 50*ms))
+			}
+			require.GreaterOrEqual(t, d.fill(1000, 0), 2)
+		})
+	}
+}
+
+// What would just make it if all went as expected is turned away while trying elsewhere is still of use.
+func TestAWaitHasToFitWithSomeToSpare(t *testing.T) {
+	d := newShape(t, []Class{{Aim: 450 * ms, Deadline: 3 * time.Second, Worth: 1}})
+	require.Equal(t, 6, d.fill(1, 0), "three at each: a third is expected to take 300 ms, 390 with what it may vary")
+	d = newShape(t, []Class{{Aim: 350 * ms, Deadline: 3 * time.Second, Worth: 1}})
+	require.Equal(t, 4, d.fill(1, 0), "two at each")
+}
