A watch at discovery that falls silent is opened anew at once, not after up to 18 s

A probe logged each dial, end and message of watches: all 300 fall silent at 5.2 or 7.2 s, while discovery is down until 10.2 s; the survivors dial again between 6 and 22 s, and those that do so after 11.5 s hear too late of the drains told then. At fault: Watcher.fail called retry for every end, whose wait is 60 ms for each ingress of the fleet, 17.8 s here, made for a discovery that turns calls away. Silence is no sign of that, and what was told meanwhile counts as told. Changed: reopen, for a watch that was heard or that nothing was heard on, within the spread of first watches; once one was turned away or broke off soon, retry spaces them out as before. Way not taken: shorter waits for all ends, as a discovery overbooked by a release answers nobody then. The test fails with either branch taken out.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -234,17 +234,34 @@
 
 // retry opens a watch after a while, longer with each failure in a row, at a random instant of that while.
 // Discovery is one service for all ingresses: asked by all of them again and again it answers none in time,
-// and none of them ever hears the list. The operator is told of the first
-// of a spell, and of no more spells than are worth reading.
+// and none of them ever hears the list.
 func (w *Watcher) retry(why string) {
+	w.tell(why)
+	w.backoff = min(max(2*w.backoff, w.lim.ClusterFirst), w.lim.ClusterMost)
+	w.again.Stop()
+	w.again = w.loop.After(time.Duration((0.1+0.9*w.rng.Float64())*float64(w.backoff)), w.dial)
+}
+
+// reopen opens a watch in place of one that was heard and is lost, or that nothing was heard on, as soon as a first
+// one: what discovery has told since counts as told here, and nothing says that it is overbooked. Once it has turned
+// us away, or broken off, retry spaces out all further ones.
+func (w *Watcher) reopen(why string) {
+	if w.backoff > 0 {
+		w.retry(why)
+		return
+	}
+	w.tell(why)
+	w.again.Stop()
+	w.again = w.loop.After(time.Duration(w.rng.Float64()*float64(w.lim.ClusterSpread)), w.dial)
+}
+
+// tell tells the operator of the first loss of a spell, and of no more spells than are worth reading.
+func (w *Watcher) tell(why string) {
 	w.failed = true
 	if now := w.loop.Now(); w.cur == nil && !w.lost && (w.lostAt == 0 || now-w.lostAt > logEvery) {
 		w.lost, w.lostAt = true, now
 		w.log.Warn("discovery watch lost", "cause", why)
 	}
-	w.backoff = min(max(2*w.backoff, w.lim.ClusterFirst), w.lim.ClusterMost)
-	w.again.Stop()
-	w.again = w.loop.After(time.Duration((0.1+0.9*w.rng.Float64())*float64(w.backoff)), w.dial)
 }
 
 // logEvery: discovery that breaks off again and again is told of so often.
@@ -275,20 +292,26 @@
 	x.close()
 	switch w := x.w; x {
 	case w.next:
-		w.next = nil
-		w.retry(why)
+		if w.next = nil; why == silent && x.up {
+			w.reopen(why)
+		} else {
+			w.retry(why)
+		}
 	case w.cur:
 		w.cur = nil
 		if w.next == nil {
-			w.retry(why)
+			w.reopen(why)
 		}
 	}
 }
 
+// silent is the cause of a watch's end on which no sign of life came in time.
+const silent = "silent"
+
 // listen begins to wait for the next sign of life.
 func (x *watch) listen(most time.Duration) {
 	x.silence.Stop()
-	x.silence = x.w.loop.After(most, func() { x.fail("silent") })
+	x.silence = x.w.loop.After(most, func() { x.fail(silent) })
 }
 
 // Ready goes on with the watch.
--- a/internal/net/discovery/discovery_test.go
+++ b/internal/net/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -35,14 +36,12 @@
 	return lim
 }
 
-// Discovery that turns calls away because it is overbooked is not asked the more for it: all doors together
-// ask half as often as each by itself would, and ever less.
-func TestAFleetDoesNotStormAnOverbookedDiscovery(t *testing.T) {
-	const doors = 60
-	var calls atomic.Int64
+// serve stands in for discovery: it answers each watch, the first being number 1, and ends it when answer returns.
+func serve(t *testing.T, answer func(c net.Conn, n int64)) (addr string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
+	t.Cleanup(func() { ln.Close() })
+	var calls atomic.Int64
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -52,17 +51,28 @@
 			go func() {
 				defer c.Close()
 				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					calls.Add(1)
-					_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+					answer(c, calls.Add(1))
 				}
 			}()
 		}
 	}()
+	return ln.Addr().String()
+}
+
+// Discovery that turns calls away because it is overbooked is not asked the more for it: all doors together
+// ask half as often as each by itself would, and ever less.
+func TestAFleetDoesNotStormAnOverbookedDiscovery(t *testing.T) {
+	const doors = 60
+	var calls atomic.Int64
+	addr := serve(t, func(c net.Conn, n int64) {
+		calls.Store(n)
+		_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+	})
 	l, err := loop.New()
 	require.NoError(t, err)
 	lim := bounds(t, doors)
 	for i := range doors {
-		New(l, lim, slog.New(slog.DiscardHandler), ln.Addr().String(), nobody{}, nobody{}, List{}, uint64(i))
+		New(l, lim, slog.New(slog.DiscardHandler), addr, nobody{}, nobody{}, List{}, uint64(i))
 	}
 	l.After(2500*time.Millisecond, l.Stop)
 	require.NoError(t, l.Run(turns(func() {})))
@@ -70,6 +80,34 @@
 	require.Less(t, calls.Load(), int64(4*doors))
 }
 
+// A watch that falls silent after it was heard is opened anew as soon as a first one, and so is one on which nothing
+// was heard, however large the fleet: what discovery has meanwhile told counts as told.
+func TestASilentWatchIsOpenedAnewAtOnce(t *testing.T) {
+	over := make(chan struct{})
+	defer close(over)
+	addr := serve(t, func(c net.Conn, n int64) {
+		if n != 2 { // the second is accepted and hears nothing
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n{\"version\":%d,\"full\":true,\"servers\":[]}\n", n)
+		}
+		<-over
+	})
+	l, err := loop.New()
+	require.NoError(t, err)
+	lim := bounds(t, 300)
+	lim.ClusterSilence, lim.ClusterSpread = 600*time.Millisecond, 20*time.Millisecond
+	lim.ClusterFirst, lim.ClusterMost = time.Minute, time.Minute // 6 s at least, once it was turned away
+	s := &sink{}
+	New(l, lim, slog.New(slog.DiscardHandler), addr, s, s, List{}, 1)
+	l.After(5*time.Second, l.Stop)
+	require.NoError(t, l.Run(turns(func() {
+		if len(s.lists) == 3 { // the one known before, and two told
+			l.Stop()
+		}
+	})))
+	require.Len(t, s.lists, 3)
+	require.Equal(t, uint64(3), s.lists[2].Version)
+}
+
 // A few doors ask as promptly as ever.
 func TestWaitsOfAFewDoorsAreShort(t *testing.T) {
 	lim := bounds(t, 3)
