--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -15,7 +15,9 @@
 	waitX       = 4.0                   // times its expected time an attempt has before a further one
 	waitAim     = 0.6                   // of the aim left, too
 	waitSure    = 1.3                   // times the wait expected: what has to fit the time left, as waits vary
-	spareAim    = 0.3                   // of the aims of more worth: the wait that less worth may make longer
+	spareAim    = 0.3                   // of the aims of more worth: the wait that less worth may make longer,
+	shortAt     = 0.03                  // where this part of the requests of most worth find no room,
+	shortGain   = 0.02                  // EWMA weight of one of them in that
 	holdRecheck = 10 * time.Millisecond // how often the hold queue is looked at
 	holdAim     = 0.15                  // of an aim's worth of answers may wait in the hold queue
 	holdLeast   = 4.0                   // requests it may hold at any time
@@ -51,6 +53,11 @@
 	}
 	left := (r.due - g.now).Seconds()
 	s, wait := g.pick(r)
+	if g.shed[r.ci] == 1 && len(r.tries) == 0 { // the class of most worth
+		if g.short -= shortGain * g.short; s == nil || waitSure*wait > left {
+			g.short += shortGain
+		}
+	}
 	switch {
 	case s == nil && g.mayHold(r):
 		g.held = append(g.held, r)
@@ -58,22 +65,22 @@
 			g.holdAt = g.now + holdRecheck
 			g.timer(timerHold, 0, g.holdAt)
 		}
-	case s == nil, waitSure*wait > min(left, g.spare(r, s)) && (len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
+	case s == nil, waitSure*wait > g.spare(r, s, left) && (len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
 		g.giveUp(r)
 	default:
 		g.send(r, s, wait)
 	}
 }
 
-// spare is how long a request may wait for its answer among others of ours, so that those of more worth find
-// room: by their own aims the patient would fill all servers first, and the hasty never fit behind them. A server
-// with nothing out takes any, else nothing would tell that waits are short again; what may have run already is
-// let finish. It harms where little worth with much time comes in bursts that would fit between.
-func (g *Gateway) spare(r *request, s *server) float64 {
-	least := math.Inf(1)
+// spare is how long a request may wait for its answer among others of ours, of what is left of its aim: while those
+// of more worth find no room, less. By their own aims the patient would fill all servers first, and the hasty never
+// fit behind them. A server with nothing out takes any, else nothing would tell that waits are short again; what
+// may have run already is let finish. It harms where little worth comes in bursts that would fit between.
+func (g *Gateway) spare(r *request, s *server, left float64) float64 {
+	least, ease := left, math.Max(0, 1-g.short/shortAt)
 	for _, c := range g.s.Classes {
 		if c.stake() > r.class.stake() && !c.Gone && len(s.out) > 0 && g.mayRefuse(r) {
-			least = min(least, spareAim*c.Aim.Seconds())
+			least = min(least, spareAim*c.Aim.Seconds()+ease*left)
 		}
 	}
 	return least
--- a/admission/gateway.go
+++ b/admission/gateway.go
@@ -72,10 +72,6 @@
 		g.recheck()
 	case timerSweep:
 		g.timer(timerSweep, 0, g.now+sweepEvery)
-		for id, c := range g.customers {
-			if g.now-c.used > forgetAfter && c.out == 0 {
-				delete(g.customers, id)
-			}
-		}
+		g.forget()
 	}
 }
--- a/admission/snapshot.go
+++ b/admission/snapshot.go
@@ -44,6 +44,7 @@
 	Held           []uint64
 	Calls          []CallState // of one name in their order
 	LiveAttempts   float64
+	Short          float64
 }
 
 // Decay is a count with exponential forgetting.
@@ -244,7 +245,7 @@
 		Failures: g.failures, Open: g.open, NextProbe: g.nextProbe, AnsweredAt: g.answeredAt, Ease: g.ease,
 		CallRate: g.callRate, AskShare: g.askShare, Asked: g.asked, HoldAt: g.holdAt, Budget: g.budget,
 		Served: g.served.state(), Unheard: g.unheard, Usual: g.usual, OutFor: g.outFor, Admit: g.admit,
-		LiveAttempts: g.live}
+		LiveAttempts: g.live, Short: g.short}
 	for i, c := range g.s.Classes {
 		st.Classes = append(st.Classes, ClassState{c.Name, g.stats[i].Took, g.stats[i].Units})
 	}
@@ -313,7 +314,7 @@
 	g.failures, g.open, g.nextProbe, g.answeredAt, g.ease = st.Failures, st.Open, st.NextProbe, st.AnsweredAt, st.Ease
 	g.callRate, g.askShare, g.asked, g.holdAt, g.budget = st.CallRate, st.AskShare, st.Asked, st.HoldAt, st.Budget
 	g.served, g.unheard, g.usual, g.outFor = st.Served.decaying(), st.Unheard, st.Usual, st.OutFor
-	g.admit, g.live = st.Admit, st.LiveAttempts
+	g.admit, g.live, g.short = st.Admit, st.LiveAttempts, st.Short
 	for _, c := range st.Classes {
 		if i := g.class(c.Name); i >= 0 {
 			g.stats[i] = estimate.Work{Took: c.Took, Units: c.Units}
--- a/admission/util.go
+++ b/admission/util.go
@@ -110,6 +110,15 @@
 	})
 }
 
+// forget drops the customers unseen for long.
+func (g *Gateway) forget() {
+	for id, c := range g.customers {
+		if g.now-c.used > forgetAfter && c.out == 0 {
+			delete(g.customers, id)
+		}
+	}
+}
+
 // begin books an attempt of a request at a server, from now on.
 func (g *Gateway) begin(r *request, s *server) {
 	r.sent = true
