--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -14,7 +14,7 @@
 	budgetMost  = 10.0                  // and its most
 	waitX       = 4.0                   // times its expected time an attempt has before a further one
 	waitAim     = 0.6                   // of the aim left, too
-	waitSure    = 1.3                   // times the wait expected: what has to fit the time left, as waits vary
+	waitSure    = 1.3                   // times the wait expected has to fit the time left: waits vary
 	spareAim    = 0.3                   // of the aims of more worth: the wait that less worth may make longer,
 	shortAt     = 0.03                  // where this part of the requests of most worth find no room,
 	shortGain   = 0.02                  // EWMA weight of one of them in that
