--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -15,7 +15,7 @@
 	waitX       = 4.0                   // times its expected time an attempt has before a further one
 	waitAim     = 0.6                   // of the aim left, too
 	waitSure    = 1.3                   // times the wait expected has to fit the time left: waits vary
-	spareAim    = 0.3                   // of the aims of more worth: the wait that less worth may make longer,
+	spareAim    = 0.3                   // of the aims of more worth: the longest wait for less worth,
 	shortAt     = 0.03                  // where this part of the requests of most worth find no room,
 	shortGain   = 0.02                  // EWMA weight of one of them in that
 	holdRecheck = 10 * time.Millisecond // how often the hold queue is looked at
@@ -65,17 +65,18 @@
 			g.holdAt = g.now + holdRecheck
 			g.timer(timerHold, 0, g.holdAt)
 		}
-	case s == nil, waitSure*wait > g.spare(r, s, left) && (len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
+	case s == nil, waitSure*wait > g.spare(r, s, left) &&
+		(len(r.tries) > 0 || r.class.LateShare == 0 || r.due == r.deadline):
 		g.giveUp(r)
 	default:
 		g.send(r, s, wait)
 	}
 }
 
-// spare is how long a request may wait for its answer among others of ours, of what is left of its aim: while those
-// of more worth find no room, less. By their own aims the patient would fill all servers first, and the hasty never
-// fit behind them. A server with nothing out takes any, else nothing would tell that waits are short again; what
-// may have run already is let finish. It harms where little worth comes in bursts that would fit between.
+// spare is how long a request may wait for its answer among others of ours, of what is left of its aim: while
+// those of more worth find no room, less. By their own aims the patient would fill all servers first, and the
+// hasty never fit behind them. A server with nothing out takes any, else nothing would tell that waits are
+// short again; what may have run is let finish. It harms where little worth comes in bursts that fit between.
 func (g *Gateway) spare(r *request, s *server, left float64) float64 {
 	least, ease := left, math.Max(0, 1-g.short/shortAt)
 	for _, c := range g.s.Classes {
