Read once more: one count of a place in a row, one line for a flag, names compared by strings

Need: what the change wrote more than once. present.go counted a gateway's place in a row in three places (row now), figures.go turned a bool into a number by hand twice (flag now), drain.go had a comparison of its own that never said equal (strings.Compare, as Current does). Left: the fleets in the tests of membership and versions and the merging of classes and plans in combine.go have one shape and other types and rules.

--- a/admission/present.go
+++ b/admission/present.go
@@ -30,12 +30,15 @@
 	}
 }
 
+// row is where a gateway stands in the row of all that begins with number first and goes round.
+func row(gateway, first, all int) int { return (gateway - first%all + all) % all }
+
 // doors is how many of the gateways from number first on, so many of all in a row, are there: 1 at least.
 func (p present) doors(n, first, all int) float64 {
 	n = max(1, min(n, all))
 	here := n
 	for _, o := range p.out {
-		if (o-first%all+all)%all < n {
+		if row(o, first, all) < n {
 			here--
 		}
 	}
@@ -44,10 +47,10 @@
 
 // place is where gateway me stands in that row, among those that are there.
 func (p present) place(me, first, all int) int {
-	at := (me - first%all + all) % all
+	at := row(me, first, all)
 	place := at
 	for _, o := range p.out {
-		if (o-first%all+all)%all < at {
+		if row(o, first, all) < at {
 			place--
 		}
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -81,11 +81,7 @@
 	b = line(b, "settings_versions_acting", uint64(f.Acting))
 	b = line(b, "settings_stale_members", uint64(f.Stale))
 	b = line(b, "settings_versions_rejected", uint64(f.Rejected))
-	alone := uint64(0)
-	if f.Alone {
-		alone = 1
-	}
-	return line(b, "settings_cut_off", alone)
+	return flag(b, "settings_cut_off", f.Alone)
 }
 
 // Fleet is what an ingress holds of the others, where they talk.
@@ -111,16 +107,20 @@
 		b = append(strconv.AppendInt(b, int64(s.N), 10), '\n')
 	}
 	b = line(b, "members_absent", uint64(f.Absent))
-	settled := uint64(0)
-	if f.Settled {
-		settled = 1
-	}
-	b = line(b, "member_settled", settled)
+	b = flag(b, "member_settled", f.Settled)
 	b = line(b, "peer_messages_sent", f.Sent)
 	b = line(b, "peer_messages_received", f.Got)
 	return line(b, "peer_messages_dropped", f.Dropped)
 }
 
+// flag is a line of 1 or 0.
+func flag(b []byte, name string, on bool) []byte {
+	if on {
+		return line(b, name, 1)
+	}
+	return line(b, name, 0)
+}
+
 func line(b []byte, name string, n uint64) []byte {
 	b = append(append(append(b, "app_"...), name...), ' ')
 	return append(strconv.AppendUint(b, n, 10), '\n')
--- a/internal/net/discovery/drain.go
+++ b/internal/net/discovery/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"ferryfront.example/ferryfront/admission"
 )
@@ -22,10 +23,7 @@
 	}
 	if len(news.Servers) > 0 {
 		slices.SortFunc(news.Servers, func(a, b admission.ServerEntry) int { // equal news in equal order
-			if a.Name < b.Name {
-				return -1
-			}
-			return 1
+			return strings.Compare(a.Name, b.Name)
 		})
 		w.sink.List(news)
 	}
