Discovery: asked again within 5.5 s of the last sign of life, whatever failed

Need: a change counts as told 6 s after discovery had it and could be reached, whatever call was refused, given up or fell silent before.

Cause: where lists are asked for, Watcher.retry (discovery.go) waited for a random part of ClusterFirst (60 ms an ingress, 18 s in a fleet of 300), up to ClusterMost (100 ms an ingress, 30 s): one refused call was enough.

Change: each wait ends within limits.ClusterApart (5.5 s) of when the watch was opened or gave its last sign of life; it is still a random part of the rest. Where lists are pushed no wait was or is over 0.25 s.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -53,6 +53,7 @@
 	ClusterSpread  time.Duration // over which a fleet's first watches are spread, each at an instant of its own
 	ClusterFirst   time.Duration // wait before a further watch after a failed one; doubles, and is then spread, too
 	ClusterMost    time.Duration // and the most of it
+	ClusterApart   time.Duration // from a watch's last sign of life, or its opening, to the next at the most, whatever failed
 	ReadyWait      time.Duration // after which the daemon is ready though discovery is silent
 
 	AnswerMargin time.Duration // before the client's own deadline, for the answer's way back
@@ -126,6 +127,9 @@
 	clusterMost   = 100 * time.Millisecond // between watches when all have failed again and again
 )
 
+// clusterApart leaves half a second of the 6 s after which what discovery has counts as told to whoever can reach it.
+const clusterApart = 5500 * time.Millisecond
+
 // agentMost is the longest wait between watches at an agent of this machine that refuses them.
 const agentMost = 250 * time.Millisecond
 
@@ -153,6 +157,7 @@
 		CounterMove:  1500 * time.Millisecond,
 		BackoffFirst: 20 * time.Millisecond, BackoffMost: 500 * time.Millisecond,
 		ClusterBytes: 1 << 20, ClusterDial: time.Second, ClusterAnswer: 5 * time.Second, ClusterSilence: 5 * time.Second, ReadyWait: 400 * time.Millisecond,
+		ClusterApart:  clusterApart,
 		ClusterSpread: clusterSpread * time.Duration(max(0, s.Gateways-1)),
 		AnswerMargin:  8 * time.Millisecond,
 		DrainAccept:   700 * time.Millisecond,
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -105,6 +105,7 @@
 	up      bool
 	heard   bool // a byte of an answer has come
 	since   time.Duration
+	sign    time.Duration // when it was opened, or gave its last sign of life
 	out     []byte
 	frames  frames
 	silence *loop.Timer
@@ -166,7 +167,7 @@
 func (w *Watcher) Refetch() {
 	if !w.whole {
 		w.whole = true
-		w.retry("whole list asked for")
+		w.retry("whole list asked for", w.loop.Now())
 	}
 }
 
@@ -219,14 +220,15 @@
 func (w *Watcher) dial() {
 	w.again.Stop()
 	w.next.close()
-	x := &watch{w: w, parser: http1.NewResponseParser(w.lim.HeadBytes, w.lim.ClusterBytes, 0), since: w.loop.Now()}
+	now := w.loop.Now()
+	x := &watch{w: w, parser: http1.NewResponseParser(w.lim.HeadBytes, w.lim.ClusterBytes, 0), since: now, sign: now}
 	w.next = nil
 	fd, err := loop.Dial(w.addr)
 	if err == nil {
 		x.src, err = w.loop.Watch(fd, loop.Out|loop.Hangup, x)
 	}
 	if err != nil {
-		w.retry(err.Error())
+		w.retry(err.Error(), now)
 		return
 	}
 	index := w.version
@@ -241,12 +243,14 @@
 
 // retry opens a watch after a while, longer with each failure in a row, at a random instant of that while.
 // Discovery is one service for all ingresses: asked by all of them again and again it answers none in time,
-// and none of them ever hears the list.
-func (w *Watcher) retry(why string) {
+// and none of them ever hears the list. However often that failed, the while ends within ClusterApart of the last
+// sign of life, or of the last try: discovery may have had a change ever since, which counts as told soon after.
+func (w *Watcher) retry(why string, sign time.Duration) {
 	w.tell(why)
 	w.backoff = min(max(2*w.backoff, w.lim.ClusterFirst), w.lim.ClusterMost)
+	most := max(w.lim.BackoffFirst, min(w.backoff, sign+w.lim.ClusterApart-w.loop.Now()))
 	w.again.Stop()
-	w.again = w.loop.After(time.Duration((0.1+0.9*w.rng.Float64())*float64(w.backoff)), w.dial)
+	w.again = w.loop.After(time.Duration((0.1+0.9*w.rng.Float64())*float64(most)), w.dial)
 }
 
 // reopen opens a watch in place of one that was heard and is lost, or that nothing was heard on, as soon as a first
@@ -255,7 +259,7 @@
 // at once.
 func (w *Watcher) reopen(x *watch, why string) {
 	if w.backoff > 0 {
-		w.retry(why)
+		w.retry(why, x.sign)
 		return
 	}
 	w.tell(why)
@@ -307,7 +311,7 @@
 			}
 			w.reopen(x, why)
 		} else {
-			w.retry(why)
+			w.retry(why, x.sign)
 		}
 	case w.cur:
 		w.cur = nil
@@ -368,7 +372,7 @@
 		x.fail(err.Error())
 		return
 	}
-	x.heard, x.w.mute = true, 0
+	x.heard, x.sign, x.w.mute = true, x.w.loop.Now(), 0
 	x.listen(x.w.lim.ClusterSilence)
 	x.parser.Feed(buf[:n])
 	resp, err := x.parser.Next()
