--- a/admission/starve_test.go
+++ b/admission/starve_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
 )
 
 // A town is a fleet of gateways before hosts that work on a few requests at a time, the others waiting in line, with
@@ -20,6 +22,9 @@
 	served []int // by class, answered before the aim, of those that came after from
 	asked  []int
 	from   time.Duration
+	list   ServerList
+	sent   func(server string) // told of each attempt, if a test wants that
+	heavy  int                 // so many gateways see four times what each other does
 }
 
 type host struct {
@@ -61,9 +66,36 @@
 		d.do(list)
 		w.doors = append(w.doors, d)
 	}
+	w.list = list
 	return w
 }
 
+// names are those of all hosts, in the order of the list.
+func (w *town) names() (names []string) {
+	for _, e := range w.list.Servers {
+		names = append(names, e.Name)
+	}
+	return names
+}
+
+// restart has a host begin anew, cold: it is as slow as the settings say that it may be, and every gateway is told.
+func (w *town) restart(name string, s Settings) {
+	boot := w.now
+	for i, e := range w.list.Servers {
+		if e.Name == name {
+			w.list.Servers[i].Boot = boot
+		}
+	}
+	w.hosts[name].how = func(took time.Duration) (Outcome, time.Duration) {
+		return OK, time.Duration(float64(took) / estimate.Warmth(w.now, boot, s.ColdFor, s.ColdFrom))
+	}
+	for me := range w.doors {
+		list := w.list
+		list.Servers = append([]ServerEntry(nil), w.list.Servers...)
+		w.tell(me, list)
+	}
+}
+
 func (w *town) at(at time.Duration, fn func()) {
 	w.n++
 	heap.Push(&w.due, dueAt{at, w.n, fn})
@@ -94,6 +126,9 @@
 }
 
 func (w *town) send(me int, a Send) {
+	if w.sent != nil {
+		w.sent(a.Server)
+	}
 	r := w.doors[me].g.requests[a.ID]
 	n, class, began := len(r.tries)-1, r.ci, w.now
 	h, work := w.hosts[a.Server], r.class.Aim/8
@@ -147,7 +182,10 @@
 			w.asked[class]++
 		}
 		w.n++
-		me := w.rng.IntN(len(w.doors))
+		me := w.rng.IntN(len(w.doors) + 3*w.heavy)
+		if me >= len(w.doors) {
+			me = (me - len(w.doors)) % w.heavy
+		}
 		w.tell(me, RequestArrived{ID: uint64(w.n), Class: class, Plan: free, Customer: uint64(w.n), Units: 1, Doors: 1,
 			FirstDoor: me, ExpiresIn: w.doors[0].g.s.Classes[class].Deadline})
 	}
--- a/cmd/ferryfront/world_test.go
+++ b/cmd/ferryfront/world_test.go
@@ -68,8 +68,10 @@
 	counter http.HandlerFunc            // numbers', unless a test has its own
 	count   http.HandlerFunc
 	numbers *standin.Counter
-	mute    bool // discovery does not listen
+	mute    bool   // discovery does not listen
+	lists   string // address of a discovery that a test serves itself
 	args    []string
+	most    int // descriptors that the system lets the process hold, 0: as many as the tests may
 	change  func(config, settings map[string]any)
 	unknown bool // the configuration knows no hosts: they are only told by discovery
 
@@ -207,8 +209,11 @@
 		}
 		list = append(list, entry(id, w.addrs[id], "Ready"))
 	}
-	discovery := free(w.t)
-	if !w.mute {
+	discovery := w.lists
+	if discovery == "" {
+		discovery = free(w.t)
+	}
+	if !w.mute && w.lists == "" {
 		discovery = w.serve(w.watch(w.news, list...))
 		w.addrs["discovery"] = discovery
 	}
@@ -234,11 +239,7 @@
 	}
 	w.path, w.told = filepath.Join(w.t.TempDir(), "config.json"), config
 	w.configure()
-	w.cmd = exec.Command(binary, append([]string{"serve"}, w.args...)...)
-	w.cmd.Env, w.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, w.env...), w.log.File
-	// A successor is of the same group, and outlives the process that the test knows.
-	w.cmd.SysProcAttr, w.cmd.WaitDelay = &syscall.SysProcAttr{Setpgid: true}, time.Second
-	require.NoError(w.t, w.cmd.Start())
+	w.launch()
 	w.t.Cleanup(func() {
 		close(w.over)
 		_ = syscall.Kill(-w.cmd.Process.Pid, syscall.SIGKILL)
@@ -250,17 +251,34 @@
 			w.t.Log(w.log.String())
 		}
 	})
-	w.until(func() bool {
-		resp, err := http.Get("http://" + w.addr + "/up")
-		if err != nil {
-			return false
-		}
-		defer resp.Body.Close()
-		return resp.StatusCode == 200
-	})
+	w.until(w.ready)
 	return w
 }
 
+// launch starts the process with the configuration as it was written last.
+func (w *world) launch() {
+	command := append([]string{binary, "serve"}, w.args...)
+	if w.most > 0 {
+		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, w.most)}, command...)
+	}
+	w.cmd = exec.Command(command[0], command[1:]...)
+	discovery := fmt.Sprint(w.told["discovery"])
+	w.cmd.Env, w.cmd.Stderr = append([]string{"GW_CONFIG=" + w.path, "GW_DISCOVERY=" + discovery}, w.env...), w.log.File
+	// A successor is of the same group, and outlives the process that the test knows.
+	w.cmd.SysProcAttr, w.cmd.WaitDelay = &syscall.SysProcAttr{Setpgid: true}, time.Second
+	require.NoError(w.t, w.cmd.Start())
+}
+
+// ready tells whether the process says that it is ready.
+func (w *world) ready() bool {
+	resp, err := http.Get("http://" + w.addr + "/up")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
 // watch is discovery: a list, and then what the channel brings.
 func (w *world) watch(news <-chan string, list ...obj) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
--- a/internal/core/crossing_test.go
+++ b/internal/core/crossing_test.go
@@ -166,3 +166,39 @@
 	c.Turn(5 * ms)
 	require.Equal(t, []string{"start h", "add a", "add b", "cancel", "add after"}, w.told)
 }
+
+// Whatever the module orders for a stream whose client has left, nothing more is started: neither while an attempt is still
+// out, as a timer fires, nor when that attempt ends, nor by what it ordered before it heard of the end.
+func TestNothingIsStartedForAClientThatLeft(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		c, _, w, _ := setUp(func(ev admission.Event) []admission.Action {
+			switch ev := ev.(type) {
+			case admission.RequestArrived:
+				return []admission.Action{admission.Send{ID: ev.ID, Server: "first"}, admission.SetTimer{At: 20 * ms}}
+			case admission.TimerFired:
+				return []admission.Action{admission.Send{ID: 1, Server: "second"}}
+			case admission.AttemptEnded:
+				if ev.Attempt == 0 {
+					return []admission.Action{admission.Send{ID: ev.ID, Server: "third"}}
+				}
+			}
+			return nil
+		})
+		id := c.Arrive(0, w.request(100*ms))
+		c.Turn(0)
+		if left {
+			c.Leave(5*ms, id)
+		}
+		c.Turn(5 * ms)
+		c.Turn(20 * ms)
+		c.UpstreamEnded(30*ms, Ref{id, 0}, admission.Errored, Answer{})
+		c.Turn(30 * ms)
+		c.Turn(30 * ms)
+		if want := []string{"start first", "start second", "start third"}; left {
+			require.Equal(t, want[:1], w.told)
+			require.Empty(t, c.streams)
+		} else {
+			require.Equal(t, want, w.told)
+		}
+	}
+}
