--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -110,21 +110,21 @@
 // Theirs tells how many of the predecessor's streams are not over.
 func (c *Core) Theirs() int { return len(c.theirs) }
 
-// TheirsSent: the predecessor has sent one of its streams on.
+// TheirsSent notes that the predecessor has sent one of its streams on.
 func (c *Core) TheirsSent(id uint64, host string, at time.Duration) {
 	if s, ok := c.theirs[id]; ok && s.Order != "" {
 		c.orders.sent(s.Order, host, at, c.orders.longest())
 	}
 }
 
-// TheirsEnded: an attempt that it made at a time has ended.
+// TheirsEnded notes that an attempt which it made at a time has ended.
 func (c *Core) TheirsEnded(id uint64, host string, at time.Duration, o admission.Outcome) {
 	if s, ok := c.theirs[id]; ok && s.Order != "" && unran(o) {
 		c.orders.unran(s.Order, host, at)
 	}
 }
 
-// TheirsDone: one of its streams is over, and its ids are free.
+// TheirsDone notes that one of its streams is over, and frees its ids.
 func (c *Core) TheirsDone(id uint64) {
 	s, ok := c.theirs[id]
 	if !ok {
@@ -135,7 +135,7 @@
 	c.orders.end(s.Order, id)
 }
 
-// TheirsGone: all of them are over, with their process.
+// TheirsGone notes that all of them are over, with their process.
 func (c *Core) TheirsGone() {
 	for id := range c.theirs {
 		c.TheirsDone(id)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -136,7 +136,8 @@
 	c.Reply(200, h, a.Body)
 }
 
-// RefusalStatus: a request that was never sent on met its quota; one that was met pressure.
+// RefusalStatus is the status of a refusal: 429 where the request was never sent on, so that it met its quota, and 503
+// where it was, so that it met pressure.
 func RefusalStatus(e core.End) int {
 	if e.Sent {
 		return 503
--- a/internal/handover/meet.go
+++ b/internal/handover/meet.go
@@ -14,7 +14,7 @@
 // nobody else. Neither takes the other at its word: the name must be a socket, not a link to one, and both ends ask
 // the kernel whose process is at the other.
 
-// ErrNobody: there is nobody to meet.
+// ErrNobody tells that there is nobody to meet.
 var ErrNobody = errors.New("nobody there")
 
 // place is the path of an ingress's socket. One too long for an address goes by way of the folder's descriptor.
--- a/internal/handover/phase/phase.go
+++ b/internal/handover/phase/phase.go
@@ -45,47 +45,47 @@
 // Event is something that happened, one of the types below.
 type Event interface{ isEvent() }
 
-// Asked: an upgrade is asked for.
+// Asked is the event that an upgrade is asked for.
 type Asked struct{}
 
-// SpawnFailed: the new process could not be started.
+// SpawnFailed is the event that the new process could not be started; Why is the cause.
 type SpawnFailed struct{ Why string }
 
-// Told: the other process has sent a message. Text goes with Refused, Protocol with Hello and Welcome.
+// Told is the event that the other process has sent a message. Text goes with Refused, Protocol with Hello and Welcome.
 type Told struct {
 	Message  Message
 	Protocol int
 	Text     string
 }
 
-// Garbled: the other process has sent what can't be read or is out of place.
+// Garbled is the event that the other process has sent what can't be read or is out of place.
 type Garbled struct{ Why string }
 
-// PeerGone: the other process has ended, for certain; on the old side How tells its exit.
+// PeerGone is the event that the other process has ended, for certain; on the old side How tells its exit.
 type PeerGone struct{ How string }
 
-// TimeUp: the present phase has lasted as long as it may.
+// TimeUp is the event that the present phase has lasted as long as it may.
 type TimeUp struct{}
 
-// Copied: all customers have been copied ahead.
+// Copied is the event that all customers have been copied ahead.
 type Copied struct{}
 
-// Emptied: nothing that was taken by this process is open any more.
+// Emptied is the event that nothing that was taken by this process is open any more.
 type Emptied struct{}
 
-// Ready: the new process has what it needs of its own: configuration, parts, discovery.
+// Ready is the event that the new process has what it needs of its own: configuration, parts, discovery.
 type Ready struct{}
 
-// Unfit: the new process can't take over.
+// Unfit is the event that the new process can't take over.
 type Unfit struct{ Why string }
 
-// RestoredAll: the snapshot is in place.
+// RestoredAll is the event that the snapshot is in place.
 type RestoredAll struct{}
 
-// EndAsked: SIGTERM.
+// EndAsked is the event that this process has got SIGTERM.
 type EndAsked struct{}
 
-// ReloadAsked: SIGHUP.
+// ReloadAsked is the event that this process has got SIGHUP.
 type ReloadAsked struct{}
 
 func (Asked) isEvent()       {}
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -58,7 +58,7 @@
 	return b
 }
 
-// ErrTooLong: a datagram longer than the platform carries.
+// ErrTooLong tells that a datagram is longer than the platform carries.
 var ErrTooLong = errors.New("membership: datagram longer than 256 bytes")
 
 // Parse reads a message. Errors name the field that is wrong; unknown fields are skipped.
