Membership: swim.go split by job, standard names

Need: one file of 478 lines held messages, node, probing and gossip, under names that need explaining (greet, ask, holds, heard, outs, tell, hear, doubt).

Hello is JoinRequest; nothing changes on the wire, and no random number is drawn in another order.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -36,7 +36,7 @@
 }
 
 // supersedes tells whether u is newer news than what is held of the member: a higher incarnation is, and at
-// one incarnation a worse state. Only the member itself raises its incarnation: to refute, or with a new life.
+// one incarnation a worse state. Only the member itself raises its incarnation: to refute, or as it starts anew.
 func (u Update) supersedes(m Member) bool {
 	if u.Incarnation != m.Incarnation {
 		return u.Incarnation > m.Incarnation
@@ -87,8 +87,8 @@
 	return ms.view.Members[i], true
 }
 
-// out is a digest of who left, and in which life; 0: nobody. One member is left aside.
-func (ms *members) out(but string) uint64 {
+// leftDigest is a digest of who left, and at which incarnation; 0: nobody. One member is left aside.
+func (ms *members) leftDigest(but string) uint64 {
 	var h xxhash.Digest
 	none := true
 	for _, m := range ms.view.Members {
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,206 @@
+package membership
+
+import "time"
+
+const (
+	maxAckPeriods = 2       // Periods to which a wait for an answer stretches where the network is slow
+	rttGain       = 1.0 / 8 // of RFC 6298, as rttDeviations and deviationGain
+	deviationGain = 1.0 / 4
+	rttDeviations = 4
+	pingsKept     = 8 // own pings remembered, for answers that come late
+	relayPeriods  = 4 // Periods for which an ack is passed on to who asked for a ping
+
+	missRateGain  = 1.0 / 8 // EWMA weight of a probe in the part whose first ping is not answered in time
+	missThreshold = 0.2     // above this it is this member's links that lose, and not one other that is gone
+	missFactor    = 4.0     // for each further part suspicion lasts so many times longer
+)
+
+// A probe is out to one member at a time.
+type probe struct {
+	target string
+	seq    uint64
+	sent   time.Duration
+	helped bool // helpers were asked, and the ping was repeated
+}
+
+// A sentPing is kept to measure the round trip.
+type sentPing struct {
+	seq uint64
+	at  time.Duration
+}
+
+// A relay is a ping on behalf of another member.
+type relay struct {
+	asker string
+	seq   uint64
+	until time.Duration
+}
+
+// ping sends a ping and returns its sequence number.
+func (n *Node) ping(to string, now time.Duration) uint64 {
+	n.seq++
+	if n.pings = append(n.pings, sentPing{n.seq, now}); len(n.pings) > pingsKept {
+		n.pings = n.pings[1:]
+	}
+	n.send(to, Message{Kind: Ping, Seq: n.seq})
+	return n.seq
+}
+
+// ackWait is how long an answer may take: what the configuration says, or longer where the network is seen to
+// be slow, as a retransmission timer is set. So a delay alone suspects nobody for long.
+func (n *Node) ackWait() time.Duration {
+	return min(max(n.cfg.AckWithin, n.rtt.mean+rttDeviations*n.rtt.deviation), maxAckPeriods*n.cfg.Period)
+}
+
+// observeRTT takes a round trip into the smoothed mean and deviation.
+func (n *Node) observeRTT(rtt time.Duration) {
+	r := &n.rtt
+	if r.mean == 0 {
+		r.mean, r.deviation = rtt, rtt/2
+		return
+	}
+	r.deviation += time.Duration(deviationGain * float64((rtt-r.mean).Abs()-r.deviation))
+	r.mean += time.Duration(rttGain * float64(rtt-r.mean))
+}
+
+// suspectFor is how long a suspicion lasts unless the suspect is heard. Where this member's own messages get lost a lot, whoever it
+// suspects is given longer, as Lifeguard does by a member's own health.
+func (n *Node) suspectFor() time.Duration {
+	return time.Duration(float64(n.cfg.SuspectFor) * (1 + missFactor*max(0, n.missRate-missThreshold)))
+}
+
+// acknowledged takes an ack: to a ping of this node's, to its probe, or to a ping on behalf of another member.
+func (n *Node) acknowledged(now time.Duration, seq uint64) {
+	for _, p := range n.pings {
+		if p.seq == seq {
+			n.observeRTT(now - p.at)
+		}
+	}
+	if p := n.probe; p != nil && seq == p.seq {
+		n.lastHeard[p.target] = max(now, 1) // by itself, or as a helper reports
+		if n.probe = nil; !p.helped {
+			n.missRate -= missRateGain * n.missRate
+		}
+	}
+	if r, ok := n.relays[seq]; ok {
+		delete(n.relays, seq)
+		n.send(r.asker, Message{Kind: Ack, Seq: r.seq})
+	}
+}
+
+// tick goes on with the probe that is out, with suspects and the dead, and begins the next probe when it is due.
+func (n *Node) tick(now time.Duration) {
+	wait := n.ackWait()
+	n.checkProbe(now, wait)
+	n.checkUnreachable(now, wait)
+	for seq, r := range n.relays {
+		if now >= r.until {
+			delete(n.relays, seq)
+		}
+	}
+	if n.probe != nil || n.left || now < n.nextProbe {
+		return
+	}
+	n.nextProbe = now + n.cfg.Period
+	if target := n.nextTarget(); target != "" {
+		n.probe = &probe{target: target, sent: now}
+		n.probe.seq = n.ping(target, now)
+	}
+	if len(n.lastHeard) == 0 {
+		n.requestView()
+	}
+	n.announce(now)
+}
+
+// checkProbe has helpers asked for a probe that was not answered in time, and suspects its target when that brought
+// nothing either.
+func (n *Node) checkProbe(now, wait time.Duration) {
+	p := n.probe
+	if p == nil {
+		return
+	}
+	target, known := n.members.get(p.target)
+	alive := known && target.State == Alive
+	switch heard := n.lastHeard[p.target] >= p.sent; {
+	case heard && p.helped: // another message of its, or the report of others, shows that it is there
+		n.probe = nil
+	case !heard && !p.helped && now-p.sent >= wait:
+		p.helped = true
+		if alive {
+			n.missRate += missRateGain * (1 - n.missRate)
+		}
+		for _, helper := range n.pick(n.cfg.Helpers, p.target) {
+			n.send(helper, Message{Kind: PingReq, Seq: p.seq, Target: p.target})
+		}
+		n.ping(p.target, now)
+	case now-p.sent >= max(n.cfg.Period, 2*wait):
+		if alive && !heard {
+			n.apply(Update{Name: target.Name, Incarnation: target.Incarnation, State: Suspect}, now)
+		}
+		n.probe = nil
+	}
+}
+
+// checkUnreachable goes through the members that are not alive. A suspect is pinged, so that it hears of it and can refute, whoever
+// raised the suspicion; one not heard for SuspectFor is dead. The dead are pinged now and then: nobody else
+// would find out that a split is over.
+func (n *Node) checkUnreachable(now, wait time.Duration) {
+	var suspects, dead []string
+	for _, m := range n.members.view.Members {
+		switch m.State {
+		case Suspect:
+			if now-max(m.Since, n.lastHeard[m.Name]) >= n.suspectFor() {
+				n.apply(Update{Name: m.Name, Incarnation: m.Incarnation, State: Dead}, now)
+				continue
+			}
+			suspects = append(suspects, m.Name)
+		case Dead:
+			dead = append(dead, m.Name)
+		}
+	}
+	if len(suspects) > 0 && now >= n.pingSuspectAt && !n.left {
+		n.pingSuspectAt = now + wait
+		n.ping(suspects[n.rng.IntN(len(suspects))], now)
+	}
+	if len(dead) > 0 && now >= n.pingDeadAt && !n.left {
+		n.pingDeadAt = now + n.cfg.Period
+		n.ping(dead[n.rng.IntN(len(dead))], now)
+	}
+}
+
+// nextTarget goes round the members that may be there in an order shuffled anew each round, so that each
+// is probed within one round however the others fare.
+func (n *Node) nextTarget() string {
+	for range 2 {
+		for len(n.probeOrder) > 0 {
+			t := n.probeOrder[0]
+			n.probeOrder = n.probeOrder[1:]
+			if m, ok := n.members.get(t); ok && (m.State == Alive || m.State == Suspect) {
+				return t
+			}
+		}
+		for _, m := range n.members.view.Members {
+			if m.Name != n.cfg.Me && (m.State == Alive || m.State == Suspect) {
+				n.probeOrder = append(n.probeOrder, m.Name)
+			}
+		}
+		n.shuffle(n.probeOrder)
+	}
+	return ""
+}
+
+// pick chooses up to k members that are alive, other than this node and one more.
+func (n *Node) pick(k int, except string) []string {
+	var alive []string
+	for _, m := range n.members.view.Members {
+		if m.State == Alive && m.Name != n.cfg.Me && m.Name != except {
+			alive = append(alive, m.Name)
+		}
+	}
+	n.shuffle(alive)
+	return alive[:min(k, len(alive))]
+}
+
+func (n *Node) shuffle(names []string) {
+	n.rng.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+}
--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -102,7 +102,7 @@
 }
 
 func stateOf(n *Node, name string) State {
-	m, ok := n.ms.get(name)
+	m, ok := n.members.get(name)
 	if !ok {
 		return Dead
 	}
@@ -227,7 +227,7 @@
 	for name, a := range w.nodes {
 		require.Equal(t, 4, a.View().Count(Alive), name)
 	}
-	require.Greater(t, w.nodes["n2"].inc, uint64(1000), "it refuted with a higher incarnation")
+	require.Greater(t, w.nodes["n2"].incarnation, uint64(1000), "it refuted with a higher incarnation")
 }
 
 // A process that begins anew under its name, its clock set back, takes its place at once.
@@ -241,7 +241,7 @@
 		require.Len(t, a.View().Members, 4)
 		require.True(t, a.Settled(w.now), name)
 	}
-	require.Greater(t, w.nodes["n2"].inc, uint64(1000))
+	require.Greater(t, w.nodes["n2"].incarnation, uint64(1000))
 }
 
 // A member that leaves is left in every view, and counted out. One that comes back is counted in again.
--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -71,7 +71,7 @@
 		switch {
 		case num == fKind && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
-			if n < 0 || v > uint64(Hello) {
+			if n < 0 || v > uint64(JoinRequest) {
 				return 0, fmt.Errorf("membership: field kind: %d not known", v)
 			}
 			msg.Kind = Kind(v)
--- a/internal/membership/wire_test.go
+++ b/internal/membership/wire_test.go
@@ -12,7 +12,7 @@
 // from the end.
 func TestAMessageRoundTripsWithinADatagram(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		msg := Message{Kind: Kind(rapid.IntRange(0, int(Hello)).Draw(t, "kind")), From: "ingress-0",
+		msg := Message{Kind: Kind(rapid.IntRange(0, int(JoinRequest)).Draw(t, "kind")), From: "ingress-0",
 			Out: rapid.Uint64().Draw(t, "out"), Seq: rapid.Uint64().Draw(t, "seq"),
 			Target: rapid.StringMatching(`(n[0-9]{1,3})?`).Draw(t, "target")}
 		for i := range rapid.IntRange(0, 40).Draw(t, "updates") {
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/peers/peers_test.go
@@ -56,7 +56,7 @@
 	peer := other(t)
 	p, listen := open(t, l, 100, map[string]string{"1": peer.LocalAddr().String()})
 	hello := read(t, peer)
-	require.Equal(t, membership.Hello, hello.Kind)
+	require.Equal(t, membership.JoinRequest, hello.Kind)
 	require.Equal(t, "0", hello.From)
 	require.False(t, p.Node().Settled(l.Now()))
 	_, err = peer.WriteToUDP(membership.Append(nil, membership.Message{Kind: membership.Ack, From: "1", Seq: hello.Seq,
