Lab: faults.go split by job, standard names in chaos and fault experiments

Need: faults.go had 563 lines of eight jobs, chaos.go 381 of three; swarm, disorder, door, dealers, greedy, good, whole, at, last need explaining.

Change: faults.go keeps the list and the run; faults_harness, _signals, _requests and _budgets hold the rest, chaos_faults.go the list of a fleet's faults, fleet.go its processes and load. Long functions are cut (halfRequests 63 lines, Chaos.Run 70, load 50). swarm and disorder are fleet and fleetFault; rollout.go keeps the old names by alias until it is renamed, and so do the fields that it uses. No flag, fault name, log line or field of a report changed.

Measured: the package's tests pass two at a time (100 s) on a machine with a load of 130 over 8 cores. With all at once there, one or two of the fault tests fail in each run, since a process takes longer than their 0.5 s to start ("too long while starting"); each time others.

--- a/cmd/ferrylab/chaos.go
+++ b/cmd/ferrylab/chaos.go
@@ -15,7 +15,7 @@
 	var members, seconds int
 	var fault string
 	var rate float64
-	names, abouts := lab.Disorders()
+	names, abouts := lab.FleetFaults()
 	var list strings.Builder
 	w := tabwriter.NewWriter(&list, 0, 0, 2, ' ', 0)
 	for i, name := range names {
--- a/internal/lab/chaos.go
+++ b/internal/lab/chaos.go
@@ -1,12 +1,7 @@
 package lab
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
-	"os"
-	"sync"
-	"syscall"
 	"time"
 
 	"ferryfront.example/ferryfront/internal/standin"
@@ -18,10 +13,10 @@
 	Members int
 	Fault   string
 	Length  time.Duration // of the fault; 0: its own
-	Rate    float64       // requests a second over all, beside the dealers with a ceiling; 0: 120
+	Rate    float64       // requests a second over all, beside the tenants with a ceiling; 0: 120
 }
 
-// ChaosReport is what came of it.
+// ChaosReport is the result of one experiment with a fleet.
 type ChaosReport struct {
 	Members       int      `json:"members"`
 	Fault         string   `json:"fault"`
@@ -49,333 +44,87 @@
 	AgreedMS        *float64 `json:"agreed_ms,omitempty"` // from the fault's end until all act on the new one alone
 }
 
-// Failed tells whether a rule was broken or the experiment did not go as it must.
+// Failed reports whether a rule was broken or the experiment did not go as it must.
 func (r ChaosReport) Failed() bool {
 	return r.Error != "" || r.CeilingBreaks+r.OverrunHosts+r.Lost+r.Doubled+r.LateSends > 0 ||
 		r.ContradictionMS != nil && *r.ContradictionMS > contradictionMost(r.Members) ||
-		(r.Fault == "loss" || r.Fault == "delay") && r.FalseDead > 0 || r.Fault == "kill" && *r.DetectMS >= detectMost
+		(r.Fault == "loss" || r.Fault == "delay") && r.FalseDead > 0 || r.Fault == "kill" && *r.DetectMS >= maxDetectMS
 }
 
-// detectMost is the stated time, in ms, in which a killed member is dead in every view.
-const detectMost = 3000
+// maxDetectMS is the stated time, in ms, in which a killed member is dead in every view.
+const maxDetectMS = 3000
 
-// disorder is one kind of fault. begin starts it and returns what ends it; gone tells whom an observer should find
-// dead meanwhile.
-type disorder struct {
-	name, about string
-	length      time.Duration
-	begin       func(*swarm) (end func())
-	gone        func(s *swarm, observer, member int) bool
-	version     int // of the settings that the fleet begins with; 0: they have none
-}
-
-// Disorders names the faults, with what each does.
-func Disorders() (names, abouts []string) {
-	for _, d := range disorders() {
-		names, abouts = append(names, d.name), append(abouts, d.about)
-	}
-	return names, abouts
-}
-
-func disorders() []disorder {
-	half := func(s *swarm, a, b int) bool { return a < s.n/2 != (b < s.n/2) }
-	return []disorder{
-		{name: "kill", about: "SIGKILL of a third", length: 6 * time.Second, begin: func(s *swarm) func() {
-			for i := range s.third() {
-				s.down(i)
-				s.world.Ingresses[i].Kill()
-			}
-			return func() {}
-		}, gone: func(s *swarm, o, m int) bool { return o >= s.third() && m < s.third() }},
-		{name: "pause", about: "SIGSTOP of one, then SIGCONT", length: 5 * time.Second, begin: func(s *swarm) func() {
-			s.signal(0, syscall.SIGSTOP)
-			return func() { s.signal(0, syscall.SIGCONT) }
-		}, gone: func(_ *swarm, o, m int) bool { return o != 0 && m == 0 }},
-		{name: "partition", about: "two halves, healed", length: 10 * time.Second, begin: func(s *swarm) func() {
-			s.cut = func(a, b int) bool { return half(s, a, b) }
-			s.links.Set(s.cut, 0, 0)
-			return s.heal
-		}, gone: half},
-		{name: "oneway", about: "the first hears the second, the second not the first", length: 8 * time.Second, begin: func(s *swarm) func() {
-			s.links.Set(func(from, to int) bool { return from == 0 && to == 1 }, 0, 0)
-			return s.heal
-		}},
-		{name: "loss", about: "30% of the messages dropped", length: 10 * time.Second, begin: func(s *swarm) func() {
-			s.links.Set(nil, 0.3, 0)
-			return s.heal
-		}},
-		{name: "delay", about: "200 ms added to each message", length: 10 * time.Second, begin: func(s *swarm) func() {
-			s.links.Set(nil, 0, 200*time.Millisecond)
-			return s.heal
-		}},
-		{name: "flap", about: "one stopped and going on, a second each", length: 8 * time.Second, begin: func(s *swarm) func() {
-			stop, done := make(chan struct{}), make(chan struct{})
-			go func() {
-				defer close(done)
-				for {
-					for _, sig := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
-						s.signal(0, sig)
-						select {
-						case <-time.After(time.Second):
-						case <-stop:
-							s.signal(0, syscall.SIGCONT)
-							return
-						}
-					}
-				}
-			}()
-			return func() { close(stop); <-done }
-		}},
-	}
-}
-
-// swarm is the fleet of one experiment.
-type swarm struct {
-	Setup
-	n       int
-	world   *standin.World
-	links   *standin.Links
-	cut     func(a, b int) bool // the split that there is, nil: none
-	clients []*standin.Clients
-	// newRules is when all had agreed on stricter settings that were rolled out, zero: none were.
-	newRules time.Time
-
-	mu     sync.Mutex
-	spells []spell
-}
-
-// spell is a time for which a member was down.
-type spell struct {
-	member   int
-	from, to time.Time // to is zero while it lasts
-}
-
-func (s *swarm) third() int { return max(1, s.n/3) }
-
-func (s *swarm) heal() { s.links.Set(nil, 0, 0) }
-
-func (s *swarm) down(member int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spells = append(s.spells, spell{member: member, from: time.Now()})
-}
-
-func (s *swarm) signal(member int, sig syscall.Signal) {
-	if sig == syscall.SIGSTOP {
-		s.down(member)
-	}
-	_ = syscall.Kill(s.world.Ingresses[member].Cmd.Process.Pid, sig)
-	if sig == syscall.SIGCONT {
-		s.up(member)
-	}
-}
-
-func (s *swarm) up(member int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range s.spells {
-		if p := &s.spells[i]; p.member == member && p.to.IsZero() {
-			p.to = time.Now()
-		}
-	}
-}
-
-// wasDown tells whether a member was down at some time between two.
-func (s *swarm) wasDown(member int, from, to time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.spells {
-		if p.member == member && p.from.Before(to) && (p.to.IsZero() || p.to.After(from)) {
-			return true
-		}
-	}
-	return false
-}
-
-// noticeMost is after which the front sends nothing more to a member that is down.
-const noticeMost = 300 * time.Millisecond
-
-// door is the member through which a request comes: one of its set, not known to be down.
-func (s *swarm) door(first, spread int) int {
-	now := time.Now()
-	at := rand.IntN(spread)
-	for k := range spread {
-		m := (first + at + k) % s.n
-		if !s.wasDown(m, now.Add(-time.Hour), now.Add(-noticeMost)) || s.isUp(m, now) {
-			return m
-		}
-	}
-	return (first + at) % s.n
-}
-
-func (s *swarm) isUp(member int, now time.Time) bool {
-	return !s.wasDown(member, now, now.Add(time.Nanosecond))
-}
-
-func newSwarm(set Setup, n, version int) (*swarm, error) {
-	if set.Say == nil {
-		set.Say = func(string, ...any) {}
-	}
-	dir, err := os.MkdirTemp(set.Dir, "swarm")
-	if err != nil {
-		return nil, err
-	}
-	s := &swarm{Setup: set, n: n}
-	if s.links, err = standin.NewLinks(n); err != nil {
-		return nil, err
-	}
-	shape := standin.Shape{Hosts: 8, Ingresses: n, Work: 30 * time.Millisecond, Settings: "membership: enabled: true\n",
-		Links: s.links, Sockets: 512, Version: version}
-	if s.world, err = standin.NewWorld(dir, shape); err != nil {
-		s.links.Close()
-		return nil, err
-	}
-	for i := range n {
-		in, err := s.world.Start(set.Ferryfront, shape)
-		if err != nil {
-			s.close()
-			return nil, err
-		}
-		s.clients = append(s.clients, &standin.Clients{Addr: in.Addr, Record: s.world.Record, Via: i,
-			Wait: 2500 * time.Millisecond})
-	}
-	return s, nil
-}
-
-func (s *swarm) close() {
-	for i, c := range s.clients {
-		s.signal(i, syscall.SIGCONT) // what is stopped can't be waited for
-		c.Close()
-	}
-	s.world.Close()
-	s.links.Close()
-}
-
-// Dealers of the experiment: those within their quotas come through three members each, those with a ceiling through
-// all, and ask for half as much again as it lets through.
-const (
-	swarmDealers = 60
-	swarmSpread  = 3
-	greedyRate   = 60.0
-	greedy       = 2
-)
-
-// load begins to ask; the function that is returned ends it and waits for the answers.
-func (s *swarm) load(rate float64) func() {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	stream := func(rate float64, next func(n int) (standin.Ask, int)) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			due := time.Now()
-			for n := 0; ctx.Err() == nil; n++ {
-				due = due.Add(time.Duration(rand.ExpFloat64() / rate * float64(time.Second)))
-				select {
-				case <-time.After(time.Until(due)):
-				case <-ctx.Done():
-					return
-				}
-				a, door := next(n)
-				a.Due = due
-				wg.Add(1)
-				go func() {
-					defer wg.Done()
-					s.clients[door].Do(a)
-				}()
-			}
-		}()
-	}
-	spread := min(swarmSpread, s.n)
-	stream(rate, func(n int) (standin.Ask, int) {
-		c := rand.IntN(swarmDealers)
-		a := standin.Ask{ID: fmt.Sprint("a", n), Customer: standin.CustomerName(c), Class: "stock", Plan: "boutique",
-			Spread: spread, First: c % s.n}
-		switch x := rand.Float64(); {
-		case x < 0.3:
-			a.Class, a.Once = "commit", true
-		case x < 0.5:
-			a.Class, a.Key = "order", "k-"+a.ID
-		}
-		return a, s.door(a.First, spread)
-	})
-	for g := range greedy {
-		stream(greedyRate, func(n int) (standin.Ask, int) {
-			return standin.Ask{ID: fmt.Sprintf("g%d-%d", g, n), Customer: standin.CustomerName(ceilingFirst + g),
-				Class: "catalogue", Plan: "distributeur", Spread: s.n}, s.door(0, s.n)
-		})
-	}
-	return func() { cancel(); wg.Wait() }
-}
-
-// Run plays one fault.
+// Run plays one fault, and judges what the members took, sent and logged.
 func (c Chaos) Run() (ChaosReport, error) {
 	r := ChaosReport{Members: c.Members, Fault: c.Fault}
-	var d disorder
-	for _, o := range append(disorders(), rollouts()...) {
-		if o.name == c.Fault {
-			d = o
-		}
-	}
-	if d.begin == nil {
+	fault, ok := findFault(c.Fault)
+	if !ok {
 		return r, fmt.Errorf("no fault %q", c.Fault)
 	}
-	if c.Members < 2 || c.Members > membersMost {
-		return r, fmt.Errorf("%d members, need 2 to %d", c.Members, membersMost)
+	if c.Members < 2 || c.Members > maxMembers {
+		return r, fmt.Errorf("%d members, need 2 to %d", c.Members, maxMembers)
 	}
-	s, err := newSwarm(c.Setup, c.Members, d.version)
+	f, err := newFleet(c.Setup, c.Members, fault.version)
 	if err != nil {
 		return r, err
 	}
-	defer s.close()
-	if err := s.agree(); err != nil {
+	defer f.close()
+	if err := f.agree(); err != nil {
 		return r, err
 	}
 	rate := c.Rate
 	if rate == 0 {
-		rate = 120
+		rate = defaultRate
 	}
-	end := s.load(rate)
+	end := f.load(rate)
 	defer func() { end() }()
-	time.Sleep(2 * time.Second) // all dealers are known
+	time.Sleep(2 * time.Second) // all tenants are known
 	// A host starts as the fault does: the members together must not push it over.
 	cold := &standin.Host{Name: "cold", Zone: "salle-a", Cell: 90, Slots: 8, Queue: 16, Work: 30 * time.Millisecond,
 		ColdFor: 8 * time.Second, ColdFrom: 0.2}
-	if err := s.world.AddHost(cold); err != nil {
+	if err := f.world.AddHost(cold); err != nil {
 		return r, err
 	}
-	length := d.length
-	if c.Length > 0 {
-		length = c.Length
-	}
-	began, carried := time.Now(), s.links.Carried()
-	over := d.begin(s)
-	time.Sleep(length / 2)
-	s.world.Discovery.Set(s.world.Hosts[0], "Terminating") // and one drains in the middle of it
-	time.Sleep(length - length/2)
-	if d.version > 0 {
-		s.stale(&r)
-	}
-	over()
-	healed := time.Now()
-	r.Seconds = healed.Sub(began).Seconds()
-	r.MessagesS = float64(s.links.Carried()-carried) / r.Seconds / float64(c.Members)
-	if err := s.agree(); err != nil {
+	began, healed := c.inject(f, fault, &r)
+	if err := f.agree(); err != nil {
 		r.Error = err.Error()
 	}
 	r.HealMS = float64(time.Since(healed).Microseconds()) / 1e3
-	if d.version > 0 {
-		s.agreed(&r, d.version+1, healed)
+	if fault.version > 0 {
+		f.agreed(&r, fault.version+1, healed)
 	}
 	time.Sleep(time.Second)
 	end()
 	end = func() {}
-	s.judge(&r, d, began, healed)
-	if d.version > 0 {
-		s.contradictions(&r)
+	f.judge(&r, fault, began, healed)
+	if fault.version > 0 {
+		f.contradictions(&r)
 	}
 	return r, nil
 }
 
-// membersMost bounds the processes of one experiment.
-const membersMost = 40
+// inject begins the fault, has a host drain in the middle of it, and ends it. It returns when it began and was over.
+func (c Chaos) inject(f *fleet, fault fleetFault, r *ChaosReport) (began, healed time.Time) {
+	length := fault.length
+	if c.Length > 0 {
+		length = c.Length
+	}
+	began, carried := time.Now(), f.links.Carried()
+	end := fault.begin(f)
+	time.Sleep(length / 2)
+	f.world.Discovery.Set(f.world.Hosts[0], "Terminating")
+	time.Sleep(length - length/2)
+	if fault.version > 0 {
+		f.stale(r)
+	}
+	end()
+	healed = time.Now()
+	r.Seconds = healed.Sub(began).Seconds()
+	r.MessagesS = float64(f.links.Carried()-carried) / r.Seconds / float64(c.Members)
+	return began, healed
+}
+
+const (
+	maxMembers  = 40    // processes of one experiment
+	defaultRate = 120.0 // requests a second over all members
+)
--- a/internal/lab/cost.go
+++ b/internal/lab/cost.go
@@ -39,12 +39,12 @@
 	used, asked := [2]float64{}, [2]int{}
 	for round := range rounds {
 		for i, b := range benches {
-			before, answers := cpu(b.in.Cmd.Process.Pid), len(b.world.Record.Answers())
+			before, answers := cpu(b.ingress.Cmd.Process.Pid), len(b.world.Record.Answers())
 			ctx, cancel := context.WithTimeout(context.Background(), each)
 			standin.Load{Rate: rate, Customers: 200, Plan: "boutique", Prefix: fmt.Sprint("r", round, "-"), Orders: 0.15,
 				Seed: uint64(round)}.Run(ctx, b.clients)
 			cancel()
-			used[i] += cpu(b.in.Cmd.Process.Pid) - before
+			used[i] += cpu(b.ingress.Cmd.Process.Pid) - before
 			asked[i] += len(b.world.Record.Answers()) - answers
 		}
 	}
--- /dev/null
+++ b/internal/lab/faults_budgets.go
@@ -0,0 +1,89 @@
+package lab
+
+import (
+	"fmt"
+	"time"
+
+	"ferryfront.example/ferryfront/internal/standin"
+)
+
+// What upgrades may not add to: quotas, ceilings, and what a cold host is sent.
+
+// burst compares what a tenant far over its quota gets with upgrades and without, in two spells of one length.
+func burst(b *bench) error {
+	spell := func(first int, upgrades int) (float64, time.Duration, error) {
+		stop := b.load(standin.Load{Rate: 70, Customers: 1, First: first, Plan: "small", Prefix: fmt.Sprint("burst", upgrades, "-"), Seed: 5})
+		began := time.Now()
+		for range upgrades {
+			if err := b.mustUpgrade(); err != nil {
+				stop()
+				return 0, 0, err
+			}
+		}
+		if upgrades == 0 {
+			time.Sleep(burstLength) // the measurement's length
+		}
+		lasted := time.Since(began)
+		stop()
+		sent := b.countRuns(func(run standin.Run) bool { return run.Customer == standin.CustomerName(first) })
+		return sent, lasted, nil
+	}
+	without, short, err := spell(5000, 0)
+	if err != nil {
+		return err
+	}
+	with, long, err := spell(5001, 20)
+	if err != nil {
+		return err
+	}
+	quota := func(d time.Duration) float64 { return 30 + 10*d.Seconds() } // of the plan "small"
+	b.extra["sent_over_quota_without"], b.extra["sent_over_quota_with"] = without/quota(short), with/quota(long)
+	b.extra["quota_error"] = with/quota(long) - without/quota(short)
+	if b.extra["quota_error"] > maxQuotaError {
+		return fmt.Errorf("20 upgrades let %.2f of the quota in, one process %.2f", with/quota(long), without/quota(short))
+	}
+	return nil
+}
+
+const (
+	burstLength   = 6 * time.Second
+	maxQuotaError = 0.05 // of the quota: what upgrades may let in beyond one process
+)
+
+func ceiling(b *bench) error {
+	stop := b.load(standin.Load{Rate: 300, Customers: ceilingTenants, First: firstCeilingTenant, Plan: "distributeur", Prefix: "c", Seed: 6})
+	defer stop()
+	for range 10 {
+		if err := b.mustUpgrade(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func coldHost(b *bench) error {
+	h := &standin.Host{Name: "cold", Zone: "salle-a", Cell: 2, Slots: 2, Queue: 200, Work: 30 * time.Millisecond,
+		ColdFor: 8 * time.Second, ColdFrom: 0.2}
+	if err := b.world.AddHost(h); err != nil {
+		return err
+	}
+	stop := b.load(standin.Load{Rate: 150, Customers: 100, First: 9000, Plan: "boutique", Prefix: "cold", Seed: 7})
+	defer stop()
+	for range 10 {
+		if err := b.mustUpgrade(); err != nil {
+			return err
+		}
+	}
+	b.extra["sent_to_cold"] = b.countRuns(func(run standin.Run) bool { return run.Host == "cold" })
+	return nil
+}
+
+// countRuns counts what hosts have been sent of one kind.
+func (b *bench) countRuns(of func(standin.Run) bool) (n float64) {
+	for _, run := range b.world.Record.Runs() {
+		if of(run) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/lab/freeze.go
+++ b/internal/lab/freeze.go
@@ -40,7 +40,7 @@
 	}
 	var conns []net.Conn
 	for range connections {
-		c, err := net.Dial("tcp", b.in.Addr)
+		c, err := net.Dial("tcp", b.ingress.Addr)
 		if err != nil {
 			return r, err
 		}
@@ -101,7 +101,7 @@
 
 func (b *bench) ahead(from, to int) error {
 	const batch = 100
-	conn, err := net.Dial("tcp", b.in.Addr)
+	conn, err := net.Dial("tcp", b.ingress.Addr)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -20,23 +20,23 @@
 const agreeMost = 15 * time.Second
 
 // agree waits until every member that is up holds every one that is up alive, and takes its share.
-func (s *swarm) agree() error {
+func (f *fleet) agree() error {
 	var last string
 	for end := time.Now().Add(agreeMost); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if last = s.disagreement(); last == "" {
+		if last = f.disagreement(); last == "" {
 			return nil
 		}
 	}
 	return fmt.Errorf("the views do not agree: %s", last)
 }
 
-func (s *swarm) disagreement() string {
+func (f *fleet) disagreement() string {
 	now := time.Now()
-	for i := range s.n {
-		if !s.isUp(i, now) {
+	for i := range f.n {
+		if !f.isUp(i, now) {
 			continue
 		}
-		m, err := s.members(i)
+		m, err := f.members(i)
 		if err != nil {
 			return err.Error()
 		}
@@ -44,8 +44,8 @@
 		for _, o := range m.Members {
 			state[o.Name] = o.State
 		}
-		for j := range s.n {
-			if s.isUp(j, now) && state[strconv.Itoa(j)] != "alive" {
+		for j := range f.n {
+			if f.isUp(j, now) && state[strconv.Itoa(j)] != "alive" {
 				return fmt.Sprintf("%d holds %d %q", i, j, state[strconv.Itoa(j)])
 			}
 		}
@@ -57,11 +57,11 @@
 }
 
 // members asks a member for its view.
-func (s *swarm) members(i int) (daemon.Members, error) {
+func (f *fleet) members(i int) (daemon.Members, error) {
 	var m daemon.Members
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	err := daemon.Ask(ctx, s.world.Ingresses[i].Control, daemon.Command{Do: "members"},
+	err := daemon.Ask(ctx, f.world.Ingresses[i].Control, daemon.Command{Do: "members"},
 		func(line []byte) error { return json.Unmarshal(line, &m) })
 	return m, err
 }
@@ -73,13 +73,13 @@
 }
 
 // declared reads from the members' logs who came to a state in whose view.
-func (s *swarm) declared(state string) (list []death, err error) {
-	for i, in := range s.world.Ingresses {
-		f, err := os.Open(in.Log)
+func (f *fleet) declared(state string) (list []death, err error) {
+	for i, in := range f.world.Ingresses {
+		logFile, err := os.Open(in.Log)
 		if err != nil {
 			return nil, err
 		}
-		lines := bufio.NewScanner(f)
+		lines := bufio.NewScanner(logFile)
 		for lines.Scan() {
 			line := lines.Text()
 			if value(line, "msg") != "member" || value(line, "state") != state {
@@ -92,7 +92,7 @@
 			}
 			list = append(list, death{i, member, at})
 		}
-		_ = f.Close()
+		_ = logFile.Close()
 		if err := lines.Err(); err != nil {
 			return nil, err
 		}
@@ -105,8 +105,8 @@
 const recently = 2 * time.Second
 
 // judge fills in what the record and the logs come to.
-func (s *swarm) judge(r *ChaosReport, d disorder, began, healed time.Time) {
-	deaths, err := s.declared("dead")
+func (f *fleet) judge(r *ChaosReport, d fleetFault, began, healed time.Time) {
+	deaths, err := f.declared("dead")
 	if err != nil {
 		r.Error = err.Error()
 	}
@@ -116,17 +116,17 @@
 		if _, seen := first[pair]; !seen && !x.at.Before(began.Truncate(time.Millisecond)) {
 			first[pair] = x.at
 		}
-		cut := s.cut != nil && s.cut(x.observer, x.member) && x.at.After(began) && x.at.Before(healed.Add(recently))
-		if !cut && !s.wasDown(x.member, x.at.Add(-recently), x.at) && !s.wasDown(x.observer, x.at.Add(-recently), x.at) {
+		cut := f.cut != nil && f.cut(x.observer, x.member) && x.at.After(began) && x.at.Before(healed.Add(recently))
+		if !cut && !f.wasDown(x.member, x.at.Add(-recently), x.at) && !f.wasDown(x.observer, x.at.Add(-recently), x.at) {
 			r.FalseDead++
 		}
 	}
 	if d.gone != nil {
 		h := hdrhistogram.New(1, 60_000_000, 3)
-		for m := range s.n {
+		for m := range f.n {
 			last, should := time.Duration(0), false
-			for o := range s.n {
-				if o == m || !d.gone(s, o, m) {
+			for o := range f.n {
+				if o == m || !d.gone(f, o, m) {
 					continue
 				}
 				should = true
@@ -144,22 +144,22 @@
 		p99 := float64(h.ValueAtQuantile(99)) / 1e3
 		r.DetectMS = &p99
 	}
-	s.account(r)
+	f.account(r)
 }
 
 // account judges the record. What a member had taken that was down meanwhile is its clients' to ask again.
-func (s *swarm) account(r *ChaosReport) {
-	v := s.world.Record.Check(ceilingRules(greedy))
-	if !s.newRules.IsZero() {
-		rules := ceilingRules(greedy)
+func (f *fleet) account(r *ChaosReport) {
+	v := f.world.Record.Check(ceilingRules(overCeilingTenants))
+	if !f.newRules.IsZero() {
+		rules := ceilingRules(overCeilingTenants)
 		rules.CeilingRate, rules.CeilingBurst, rules.CeilingSlack = rules.CeilingRate/2, rules.CeilingBurst/2, rules.CeilingSlack/2
-		rules.From = s.newRules
-		v.CeilingBreaks += s.world.Record.Check(rules).CeilingBreaks
+		rules.From = f.newRules
+		v.CeilingBreaks += f.world.Record.Check(rules).CeilingBreaks
 	}
 	r.CeilingBreaks, r.OverrunHosts, r.LateSends, r.Faults = v.CeilingBreaks, v.OverrunHosts, v.LateSends, v.Faults
 	r.Doubled = v.ForbiddenRepeats + v.SecondCopies
 	ran := map[string]int{}
-	for _, run := range s.world.Record.Runs() {
+	for _, run := range f.world.Record.Runs() {
 		if run.Class == "commit" {
 			if ran[run.ID]++; ran[run.ID] == 2 {
 				r.Doubled++
@@ -167,15 +167,15 @@
 		}
 	}
 	asked, served := 0, 0
-	for _, a := range s.world.Record.Answers() {
+	for _, a := range f.world.Record.Answers() {
 		r.Requests++
-		if s.wasDown(a.Via, a.Due, a.End) {
+		if f.wasDown(a.Via, a.Due, a.End) {
 			r.DownRequests++
 			continue
 		}
 		if a.Status == 0 || a.Twice {
 			r.Lost++
-			s.Say("lost: %s through %d, due %s: %s", a.ID, a.Via, a.Due.Format(time.RFC3339Nano), a.Lost)
+			f.Say("lost: %s through %d, due %s: %s", a.ID, a.Via, a.Due.Format(time.RFC3339Nano), a.Lost)
 		}
 		if a.Plan == "boutique" {
 			if asked++; a.Status == 200 {
--- a/internal/lab/upgrade.go
+++ b/internal/lab/upgrade.go
@@ -15,7 +15,7 @@
 	"ferryfront.example/ferryfront/internal/standin"
 )
 
-// Setup is what every experiment needs.
+// Setup is what every experiment needs: binaries, a folder, and where to report progress.
 type Setup struct {
 	Ferryfront string // path of the binary
 	Lab        string // path of the binary that holds the misbehaving successors
@@ -23,7 +23,7 @@
 	Say        func(format string, args ...any)
 }
 
-// Upgrades is upgrades under load.
+// Upgrades is an experiment: one ingress is upgraded again and again under load, after the same load without.
 type Upgrades struct {
 	Setup
 	Count     int
@@ -33,7 +33,7 @@
 	Probation time.Duration
 }
 
-// UpgradeReport is what came of it.
+// UpgradeReport is the result of an experiment with upgrades.
 type UpgradeReport struct {
 	Scenario       string  `json:"scenario"`
 	Upgrades       int     `json:"upgrades"`
@@ -61,14 +61,14 @@
 // bench is a world with one ingress under load.
 type bench struct {
 	Setup
-	world   *standin.World
-	in      *standin.Ingress
-	clients *standin.Clients
-	shape   standin.Shape
-	stop    func()
-	mayLose int // requests that a process killed on purpose takes along
-	extra   map[string]float64
-	probes  int
+	world         *standin.World
+	ingress       *standin.Ingress
+	clients       *standin.Clients
+	shape         standin.Shape
+	stop          func()
+	allowedLosses int // requests that a process killed on purpose takes along
+	extra         map[string]float64
+	probes        int
 }
 
 func newBench(s Setup, shape standin.Shape) (*bench, error) {
@@ -84,11 +84,11 @@
 		return nil, err
 	}
 	b := &bench{Setup: s, world: w, shape: shape, stop: func() {}, extra: map[string]float64{}}
-	if b.in, err = w.Start(s.Ferryfront, shape); err != nil {
+	if b.ingress, err = w.Start(s.Ferryfront, shape); err != nil {
 		w.Close()
 		return nil, err
 	}
-	b.clients = &standin.Clients{Addr: b.in.Addr, Record: w.Record, Wait: 2500 * time.Millisecond}
+	b.clients = &standin.Clients{Addr: b.ingress.Addr, Record: w.Record, Wait: 2500 * time.Millisecond}
 	return b, nil
 }
 
@@ -112,22 +112,24 @@
 	}
 }
 
-// upgradeMost bounds one upgrade.
-const upgradeMost = 30 * time.Second
+const (
+	upgradeTimeout        = 30 * time.Second // of one upgrade
+	maxCounterConnections = 32               // that the counter takes from one address; it resets what is over
+)
 
 func (b *bench) upgrade(tell func(phase string)) (daemon.Progress, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), upgradeMost)
+	ctx, cancel := context.WithTimeout(context.Background(), upgradeTimeout)
 	defer cancel()
-	return daemon.Upgrade(ctx, b.in.Control, func(p daemon.Progress) {
+	return daemon.Upgrade(ctx, b.ingress.Control, func(p daemon.Progress) {
 		if tell != nil {
 			tell(p.Text)
 		}
 	})
 }
 
-// whole waits until no upgrade is under way any more: a process that has just taken over is on probation.
-func (b *bench) whole() error {
-	for end := time.Now().Add(upgradeMost); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+// waitIdle waits until no upgrade is under way any more: a process that has just taken over is on probation.
+func (b *bench) waitIdle() error {
+	for end := time.Now().Add(upgradeTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if s, err := b.status(); err == nil && (s.Phase == "idle" || s.Phase == "independent") {
 			return nil
 		}
@@ -137,15 +139,15 @@
 
 func (b *bench) verdict() standin.Verdict {
 	v := b.world.Record.Check(b.rules())
-	v.Lost = max(0, v.Lost-b.mayLose)
+	v.Lost = max(0, v.Lost-b.allowedLosses)
 	return v
 }
 
 // rules are those of the world's plan with a ceiling.
-func (b *bench) rules() standin.Rules { return ceilingRules(ceilingDealers) }
+func (b *bench) rules() standin.Rules { return ceilingRules(ceilingTenants) }
 
-// ceilingRules are those for so many dealers with a ceiling.
-func ceilingRules(dealers int) standin.Rules {
+// ceilingRules are those for so many tenants with a ceiling.
+func ceilingRules(tenants int) standin.Rules {
 	r := standin.Rules{Window: standin.Window}
 	for _, p := range standin.Plans() {
 		if rate, ok := p["hardRate"].(int); ok {
@@ -153,16 +155,16 @@
 			r.CeilingSlack = float64(p["hardSlack"].(int))
 		}
 	}
-	for i := range dealers {
-		r.Customers = append(r.Customers, standin.CustomerName(ceilingFirst+i))
+	for i := range tenants {
+		r.Customers = append(r.Customers, standin.CustomerName(firstCeilingTenant+i))
 	}
 	return r
 }
 
-// Dealers with a ceiling have numbers of their own.
+// Tenants with a ceiling have numbers of their own.
 const (
-	ceilingFirst   = 1 << 20
-	ceilingDealers = 4
+	firstCeilingTenant = 1 << 20
+	ceilingTenants     = 4
 )
 
 func settings(probation time.Duration) string {
@@ -198,7 +200,7 @@
 			r.Upstreams += got.Upstreams
 			r.Clients += got.Clients
 		}
-		if err := b.whole(); err != nil {
+		if err := b.waitIdle(); err != nil {
 			end()
 			return r, err
 		}
@@ -216,8 +218,8 @@
 	if r.FailedUpgrades > 0 {
 		r.Error = fmt.Sprintf("%d upgrades failed", r.FailedUpgrades)
 	}
-	if r.CounterConns > 32 {
-		r.Error = fmt.Sprintf("%d connections to the counter, it holds 32", r.CounterConns)
+	if r.CounterConns > maxCounterConnections {
+		r.Error = fmt.Sprintf("%d connections to the counter, it holds %d", r.CounterConns, maxCounterConnections)
 	}
 	return r, nil
 }
