--- a/internal/controlgroup/state.go
+++ b/internal/controlgroup/state.go
@@ -2,13 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 
 	"ferryfront.example/ferryfront/internal/versions"
 )
 
-// InForceMost is how many versions of a document are in force together at most; a further one is refused until the
-// oldest is retired.
-const InForceMost = 4
+// Limits of the state.
+const (
+	InForceMost   = 4  // versions of a document in force together; a further one waits until the oldest is retired
+	DocumentsMost = 16 // documents
+)
 
 // Errors of [State.Check] and [State.Apply]: the command changes nothing. They come wrapped with the document and
 // version, or the member and incarnation, that they are about.
@@ -16,82 +21,167 @@
 	ErrOlder        = errors.New("older than the newest version in force")
 	ErrOtherContent = errors.New("the number is in force with another content")
 	ErrTooMany      = versions.ErrRollouts
-	ErrTooLong      = errors.New("text is too long")
+	ErrTooLong      = fmt.Errorf("text of over %d bytes", TextMost)
 	ErrInvalid      = errors.New("invalid command")
 	ErrNotInForce   = errors.New("version is not in force")
 	ErrOnlyVersion  = errors.New("the newest version can't be retired")
-	ErrSuperseded   = errors.New("a later process has held the place")
+	ErrSuperseded   = errors.New("this or a later process has held the place before")
 	ErrNotHolder    = errors.New("does not hold the place")
 )
 
-// Command is one entry of the replicated log.
-type Command interface{ command() }
-
-// ProposeVersion puts a further version of a document in force, beside those that are. The first of a document is in
-// force alone. One that is in force already changes nothing and is no error.
-type ProposeVersion struct {
-	Document string
-	Version  versions.Version
-	Text     []byte
+// place is the last claim of a member's place.
+type place struct {
+	incarnation Incarnation
+	released    bool
 }
 
-// RetireVersion ends the time in force of a version and of all older ones of its document, in one step.
-type RetireVersion struct {
-	Document string
-	Version  versions.Version
+// State is what the group has replicated. Each replica applies the same commands in the same order and has the same
+// state. It is not safe for use by several goroutines: the replica's host keeps Apply apart from the calls of others,
+// also from those of a [Leader] that reads it. The slices that it returns are never written to again.
+type State struct {
+	documents map[string][]versions.Doc // in force, oldest first; never empty
+	places    map[MemberID]place
 }
 
-// ClaimPlace makes an incarnation the holder of its member's place, and with it of the member's share of joint
-// budgets. The leader proposes it only when no earlier incarnation can hold a share lease any more.
-type ClaimPlace struct {
-	Member      MemberID
-	Incarnation Incarnation
+// NewState returns the state before the first command.
+func NewState() *State {
+	return &State{documents: map[string][]versions.Doc{}, places: map[MemberID]place{}}
 }
 
-// ReleasePlace tells that the holder's process has ended or has given up its leases. That incarnation can't hold the
-// place again; a later one may claim it at once.
-type ReleasePlace struct {
-	Member      MemberID
-	Incarnation Incarnation
-}
+// Documents returns the names of the documents of which a version is in force, sorted.
+func (s *State) Documents() []string { return slices.Sorted(maps.Keys(s.documents)) }
 
-func (ProposeVersion) command() {}
-func (RetireVersion) command()  {}
-func (ClaimPlace) command()     {}
-func (ReleasePlace) command()   {}
+// InForce returns the versions of a document that are in force, oldest first; none if the document is not known.
+func (s *State) InForce(document string) []versions.Doc { return s.documents[document] }
 
-// AppendCommand writes a command for the log.
-func AppendCommand(b []byte, c Command) []byte { panic("to come") }
+// Holder returns the last incarnation that has claimed a member's place, and whether it still holds it. Without any:
+// 0, false.
+func (s *State) Holder(member MemberID) (Incarnation, bool) {
+	last, claimed := s.places[member]
+	return last.incarnation, claimed && !last.released
+}
 
-// ParseCommand reads a command from the log.
-func ParseCommand(b []byte) (Command, error) { panic("to come") }
+// Check tells why a command would change nothing at present, without applying it.
+func (s *State) Check(c Command) error {
+	switch c := c.(type) {
+	case ProposeVersion:
+		return about(c.Document, c.Version, s.checkPropose(c))
+	case RetireVersion:
+		return about(c.Document, c.Version, s.checkRetire(c))
+	case ClaimPlace:
+		return s.checkClaim(c)
+	case ReleasePlace:
+		return s.checkRelease(c)
+	}
+	return fmt.Errorf("%w: %T", ErrInvalid, c)
+}
 
-// State is what the group has replicated. Each replica applies the same commands in the same order and has the same
-// state. It is not safe for use by several goroutines: the replica's host keeps Apply apart from the calls of others,
-// also from those of a [Leader] that reads it. The slices that it returns are never written to again.
-type State struct{}
+func about(document string, version versions.Version, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s version %v: %w", document, version, err)
+}
 
-// NewState returns the state before the first command.
-func NewState() *State { return &State{} }
+// Apply applies the next command of the log. With an error, nothing has changed.
+func (s *State) Apply(c Command) error {
+	if err := s.Check(c); err != nil {
+		return err
+	}
+	switch c := c.(type) {
+	case ProposeVersion:
+		s.propose(c)
+	case RetireVersion:
+		inForce := s.documents[c.Document]
+		s.documents[c.Document] = slices.Clone(inForce[indexOf(inForce, c.Version)+1:])
+	case ClaimPlace:
+		s.places[c.Member] = place{incarnation: c.Incarnation}
+	case ReleasePlace:
+		s.places[c.Member] = place{incarnation: c.Incarnation, released: true}
+	}
+	return nil
+}
 
-// Check tells why a command would change nothing at present, without applying it.
-func (s *State) Check(c Command) error { panic("to come") }
+// indexOf finds a version among some; -1: it's not there.
+func indexOf(docs []versions.Doc, version versions.Version) int {
+	return slices.IndexFunc(docs, func(doc versions.Doc) bool { return doc.Version == version })
+}
 
-// Apply applies the next command of the log. With an error, nothing has changed.
-func (s *State) Apply(c Command) error { panic("to come") }
+func (s *State) checkPropose(c ProposeVersion) error {
+	if err := checkContent(c); err != nil {
+		return err
+	}
+	inForce := s.documents[c.Document]
+	if indexOf(inForce, c.Version) >= 0 {
+		return nil
+	}
+	if len(inForce) == 0 {
+		if len(s.documents) >= DocumentsMost {
+			return fmt.Errorf("%w: there are %d documents already", ErrInvalid, DocumentsMost)
+		}
+		return nil
+	}
+	newest := inForce[len(inForce)-1].Version
+	switch {
+	case slices.ContainsFunc(inForce, func(doc versions.Doc) bool { return doc.Number == c.Version.Number }):
+		return ErrOtherContent
+	case c.Version.Number < newest.Number:
+		return fmt.Errorf("%w, %v", ErrOlder, newest)
+	case len(inForce) >= InForceMost:
+		return ErrTooMany
+	}
+	return nil
+}
 
-// Documents returns the names of the documents of which a version is in force, sorted.
-func (s *State) Documents() []string { panic("to come") }
+// checkContent tells what is wrong with a proposal, whatever is in force.
+func checkContent(c ProposeVersion) error {
+	switch {
+	case c.Document == "" || len(c.Document) > NameMost:
+		return fmt.Errorf("%w: a document's name has 1 to %d bytes", ErrInvalid, NameMost)
+	case c.Version.Number == 0 || c.Version.Number > versions.NumberMost:
+		return fmt.Errorf("%w: a version's number is from 1 to %d", ErrInvalid, uint64(versions.NumberMost))
+	case len(c.Text) > TextMost:
+		return ErrTooLong
+	case versions.NewDoc(c.Version.Number, c.Text).Version != c.Version:
+		return fmt.Errorf("%w: the hash is not that of the text", ErrInvalid)
+	}
+	return nil
+}
 
-// InForce returns the versions of a document that are in force, oldest first; none if the document is not known.
-func (s *State) InForce(document string) []versions.Doc { panic("to come") }
+func (s *State) propose(c ProposeVersion) {
+	inForce := s.documents[c.Document]
+	if indexOf(inForce, c.Version) < 0 {
+		doc := versions.Doc{Version: c.Version, Text: c.Text}
+		s.documents[c.Document] = append(slices.Clone(inForce), doc)
+	}
+}
 
-// Holder returns the last incarnation that has claimed a member's place, and whether it still holds it. Without any:
-// 0, false.
-func (s *State) Holder(member MemberID) (Incarnation, bool) { panic("to come") }
+func (s *State) checkRetire(c RetireVersion) error {
+	inForce := s.documents[c.Document]
+	switch i := indexOf(inForce, c.Version); i {
+	case -1:
+		return ErrNotInForce
+	case len(inForce) - 1:
+		return ErrOnlyVersion
+	}
+	return nil
+}
 
-// Snapshot writes the state. Equal states give equal bytes.
-func (s *State) Snapshot() []byte { panic("to come") }
+func (s *State) checkClaim(c ClaimPlace) error {
+	last := s.places[c.Member]
+	again := c.Incarnation == last.incarnation && !last.released
+	switch {
+	case c.Incarnation == 0:
+		return fmt.Errorf("%w: member %d without an incarnation", ErrInvalid, c.Member)
+	case c.Incarnation <= last.incarnation && !again:
+		return fmt.Errorf("member %d, incarnation %d: %w", c.Member, c.Incarnation, ErrSuperseded)
+	}
+	return nil
+}
 
-// Restore reads a state that Snapshot wrote.
-func Restore(b []byte) (*State, error) { panic("to come") }
+func (s *State) checkRelease(c ReleasePlace) error {
+	if c.Incarnation == 0 || s.places[c.Member].incarnation != c.Incarnation {
+		return fmt.Errorf("member %d, incarnation %d: %w", c.Member, c.Incarnation, ErrNotHolder)
+	}
+	return nil
+}
