--- a/internal/controlgroup/controlgroup.go
+++ b/internal/controlgroup/controlgroup.go
@@ -59,7 +59,8 @@
 	Reports     []Report
 }
 
-// Grant answers a Renew. Both lengths count from when the member sent that Renew.
+// Grant answers a Renew. Both lengths count from when the member sent that Renew, and are less [Timing.Drift] already.
+// A second one with the same Sequence may follow, once the member holds its place.
 type Grant struct {
 	Member      MemberID
 	Incarnation Incarnation
@@ -67,7 +68,7 @@
 	Settings    time.Duration // 0: no lease, since what was reported lacks the oldest version in force of a document
 	Share       time.Duration // 0: the share may still be held by an earlier process
 	Renewal     time.Duration // to the next Renew
-	Superseded  bool          // a later process of this member holds its place: this one has no share any more
+	Superseded  bool          // a later process holds the place, or this one was Closed: it gets no lease any more
 	Term        uint64        // of the leader that granted, for logs
 }
 
@@ -101,7 +102,8 @@
 }
 
 // Closed tells the leader that a member's process has ended or has given up its leases: the replica has read the
-// orderly end of its connection. A reset, a time limit or an end by the replica itself is no such sign.
+// orderly end of its connection. A reset, a time limit or an end by the replica itself is no such sign. A member that
+// gives up its leases and lives on sends it itself. It is final: the incarnation gets no lease any more.
 type Closed struct {
 	Member      MemberID
 	Incarnation Incarnation
