--- a/internal/controlserver/admin.go
+++ b/internal/controlserver/admin.go
@@ -162,10 +162,12 @@
 	return response
 }
 
-// Status returns this replica's view.
+// Status returns this replica's view. The leases come first: a leader has them once it has applied all that earlier
+// ones have committed, so the documents are no older.
 func (s *Server) Status() Status {
+	leases := s.leaseStatus()
 	status := Status{Replica: s.cfg.ID, State: s.state(), Leader: s.node.leader(), Term: s.node.raft.CurrentTerm(),
-		Applied: s.node.raft.AppliedIndex(), Members: s.members.count()}
+		Applied: s.node.raft.AppliedIndex(), Members: s.members.count(), Leases: leases}
 	for _, server := range s.node.servers() {
 		status.Replicas = append(status.Replicas, ReplicaStatus{string(server.ID), string(server.Address),
 			s.listenAddress(server.ID), server.Suffrage == raft.Voter})
@@ -177,7 +179,6 @@
 		}
 		status.Documents = append(status.Documents, DocumentStatus{d.name, inForce})
 	}
-	status.Leases = s.leaseStatus()
 	return status
 }
 
