--- a/cmd/ferrycontrol/commands_test.go
+++ b/cmd/ferrycontrol/commands_test.go
@@ -48,6 +48,7 @@
 }
 
 func TestAnOperatorsCommands(t *testing.T) {
+	t.Parallel()
 	g := newProcesses(t)
 	g.startAll()
 	leader := g.leader("")
--- a/internal/controlserver/admin.go
+++ b/internal/controlserver/admin.go
@@ -245,15 +245,15 @@
 		return fmt.Errorf("%sreplace: %s does not lead", unavailable, s.cfg.ID)
 	case old == s.cfg.ID:
 		if err := s.node.raft.LeadershipTransfer().Error(); err != nil {
-			return err
+			return fmt.Errorf("%sreplace: %s can't hand over: %w", unavailable, s.cfg.ID, err)
 		}
 		return fmt.Errorf("%sreplace: %s leads no longer, ask the new leader", unavailable, s.cfg.ID)
 	}
 	if _, err := Ask(s.context, with.Listen, Request{Op: OpPosition}); err != nil {
 		return fmt.Errorf("replace: the new replica does not answer: %w", err)
 	}
-	if err := s.node.replace(old, *with); err != nil {
-		return err
+	if err := s.node.replace(old, *with); err != nil { // each step may be made again
+		return fmt.Errorf("%sreplace: %w", unavailable, err)
 	}
 	s.log.Info("replica replaced", "old", old, "new", with.ID, "raft", with.Raft, "listen", with.Listen)
 	return nil
--- a/internal/controlserver/server_test.go
+++ b/internal/controlserver/server_test.go
@@ -96,6 +96,28 @@
 	g.untilNewest(DocumentDrained, 4)
 }
 
+// A replica that starts from a snapshot has the state before any leader has told what is committed.
+func TestReplicasStartFromSnapshots(t *testing.T) {
+	t.Parallel()
+	g := newTestGroup(t)
+	g.start(g.ids...)
+	g.propose(drainedVersion(1))
+	g.propose(settingsVersion(t, 7))
+	g.untilNewest(DocumentSettings, 7)
+	for _, id := range g.ids {
+		require.NoError(t, g.servers[id].node.raft.Snapshot().Error())
+	}
+	g.propose(drainedVersion(2))
+	g.stop(g.ids...)
+	g.start("a")
+	g.until("the state of the snapshot", func() bool { return g.newest("a")[DocumentSettings] == 7 })
+	require.NoError(t, os.Remove(filepath.Join(g.configs["b"].Data, storeFile)))
+	require.ErrorIs(t, g.open("b"), ErrDamagedStore, "a snapshot without the log and the votes that belong to it")
+	require.NoError(t, os.RemoveAll(g.configs["b"].Data))
+	g.start("b", "c")
+	g.untilNewest(DocumentDrained, 2)
+}
+
 // Two of three start again while the third is dead: they have to rely on their disks after a time.
 func TestTwoReplicasStartAgain(t *testing.T) {
 	t.Parallel()
