ferrycontrol: a backup is the leader's, or of the replica that has applied most

It now asks as status does, and restore refuses a file without versions.

A replica that ends by itself now fails its test by name.

--- a/cmd/ferrycontrol/faults_test.go
+++ b/cmd/ferrycontrol/faults_test.go
@@ -64,7 +64,7 @@
 			}
 		}
 		began := time.Now()
-		g.kill(leader.Replica)
+		g.kill(leader.Replica) // dead already
 		next := g.leader(leader.Replica)
 		t.Logf("kill %d: %d committed of %d, next leader after %v", kill, committed, number, time.Since(began))
 		require.GreaterOrEqual(t, newestDrained(next), committed, "a committed version was lost")
@@ -88,18 +88,12 @@
 	g := newProcesses(t)
 	g.startAll()
 	for pause := range pauses {
-		leader := g.leader("")
-		conn, err := net.Dial("tcp", g.replica(leader.Replica).Listen)
-		require.NoError(t, err)
-		renewal := controlgroup.Renew{Member: 1, Incarnation: controlgroup.Incarnation(pause + 1), Sequence: 1}
+		leader, conn, renewal, grants := g.grantedByLeader(controlgroup.Incarnation(pause + 1))
 		send := func() {
 			renewal.Sequence++
 			_, err := conn.Write(controlgroup.Append(nil, renewal))
 			require.NoError(t, err)
 		}
-		send()
-		grants := readGrants(conn)
-		require.Equal(t, leader.Term, (<-grants).Term)
 		// Renewals are on their way at the very instant of the pause, too.
 		for range 20 {
 			send()
@@ -128,6 +122,36 @@
 	}
 }
 
+// grantedByLeader connects to the leader and returns once that has answered a renewal in its term. On a busy machine
+// there may be another leader meanwhile: then it begins anew.
+func (g *processes) grantedByLeader(incarnation controlgroup.Incarnation) (controlserver.Status, net.Conn,
+	controlgroup.Renew, <-chan controlgroup.Grant) {
+	g.t.Helper()
+	renewal := controlgroup.Renew{Member: 1, Incarnation: incarnation}
+	for began := time.Now(); time.Since(began) < patience; {
+		leader := g.leader("")
+		conn, err := net.Dial("tcp", g.replica(leader.Replica).Listen)
+		require.NoError(g.t, err)
+		grants := readGrants(conn)
+		for range 20 {
+			renewal.Sequence++
+			_, err = conn.Write(controlgroup.Append(nil, renewal))
+			require.NoError(g.t, err)
+			select {
+			case grant := <-grants:
+				if grant.Term == leader.Term {
+					return leader, conn, renewal, grants
+				}
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+		require.NoError(g.t, conn.(*net.TCPConn).SetLinger(0))
+		require.NoError(g.t, conn.Close())
+	}
+	g.t.Fatal("no leader has granted")
+	panic("not reached")
+}
+
 // readGrants passes on the grants that come over a connection.
 func readGrants(conn net.Conn) <-chan controlgroup.Grant {
 	grants := make(chan controlgroup.Grant, 1000)
--- a/cmd/ferrycontrol/process_test.go
+++ b/cmd/ferrycontrol/process_test.go
@@ -37,18 +37,24 @@
 	os.Exit(code)
 }
 
+// replicaProcess is one that runs, or has ended by itself.
+type replicaProcess struct {
+	*exec.Cmd
+	ended chan struct{}
+}
+
 // processes is a group whose replicas are processes of the real binary.
 type processes struct {
 	t        *testing.T
 	replicas []controlserver.Replica
 	flags    []string
 	data     string // directory of the replicas' directories
-	running  map[string]*exec.Cmd
+	running  map[string]*replicaProcess
 	log      *os.File
 }
 
 func newProcesses(t *testing.T, flags ...string) *processes {
-	g := &processes{t: t, flags: flags, data: t.TempDir(), running: map[string]*exec.Cmd{}}
+	g := &processes{t: t, flags: flags, data: t.TempDir(), running: map[string]*replicaProcess{}}
 	for _, id := range []string{"a", "b", "c"} {
 		g.replicas = append(g.replicas, controlserver.Replica{ID: id, Raft: freeAddress(t), Listen: freeAddress(t)})
 	}
@@ -116,7 +122,24 @@
 	command.Stdout, command.Stderr = g.log, g.log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	require.NoError(g.t, command.Start())
-	g.running[id] = command
+	p := &replicaProcess{command, make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		close(p.ended)
+	}()
+	g.running[id] = p
+}
+
+// requireRunning fails the test if a replica has ended by itself.
+func (g *processes) requireRunning() {
+	g.t.Helper()
+	for id, p := range g.running {
+		select {
+		case <-p.ended:
+			g.t.Fatalf("replica %s has ended: %v", id, p.ProcessState)
+		default:
+		}
+	}
 }
 
 func (g *processes) signal(id string, signal syscall.Signal) {
@@ -126,7 +149,7 @@
 
 func (g *processes) kill(id string) {
 	_ = g.running[id].Process.Kill()
-	_ = g.running[id].Wait()
+	<-g.running[id].ended
 	delete(g.running, id)
 }
 
@@ -134,6 +157,7 @@
 func (g *processes) leader(but string) controlserver.Status {
 	g.t.Helper()
 	for began := time.Now(); time.Since(began) < patience; time.Sleep(5 * time.Millisecond) {
+		g.requireRunning()
 		for _, r := range g.replicas {
 			if status, ok := g.ask(r.ID); ok && status.Leases != nil && r.ID != but {
 				return status
--- a/cmd/ferrycontrol/propose.go
+++ b/cmd/ferrycontrol/propose.go
@@ -102,7 +102,11 @@
 			p.usage = true
 			return errors.New("backup: needs --replica and --to")
 		}
-		response, err := askAny(context.Background(), addresses, controlserver.Request{Op: controlserver.OpBackup})
+		newest := askStatus(addresses).newest() // a follower may lack what was committed just now
+		if newest == nil {
+			return errors.New("backup: no replica answers")
+		}
+		response, err := controlserver.Ask(context.Background(), newest.Address, controlserver.Request{Op: controlserver.OpBackup})
 		if err != nil {
 			return err
 		}
@@ -142,6 +146,9 @@
 				proposals = append(proposals, proposal{d.Name, versions.NewDoc(v.Number, []byte(v.Text))})
 			}
 		}
+		if len(proposals) == 0 {
+			return fmt.Errorf("%s: no versions are there", file)
+		}
 		return p.proposeAll(addresses, limit, proposals)
 	}
 	return c
--- a/cmd/ferrycontrol/status.go
+++ b/cmd/ferrycontrol/status.go
@@ -22,25 +22,32 @@
 	c.Flags().StringSliceVar(addresses, "replica", nil, "`address` at which a replica listens; several with commas, or once for each")
 }
 
-// askAny returns the first answer to a request.
-func askAny(ctx context.Context, addresses []string, request controlserver.Request) (controlserver.Response, error) {
-	failures := make([]error, 0, len(addresses))
-	for _, address := range addresses {
-		response, err := controlserver.Ask(ctx, address, request)
-		if err == nil {
-			return response, nil
-		}
-		failures = append(failures, err)
-	}
-	return controlserver.Response{}, errors.Join(failures...)
+// replicaStatus is what a replica says, and where it was asked.
+type replicaStatus struct {
+	Address string `json:"address"`
+	controlserver.Status
 }
 
 // groupStatus is what the replicas that answer say.
 type groupStatus struct {
-	Leader      string                 `json:"leader"` // empty: none
-	Term        uint64                 `json:"term"`
-	Replicas    []controlserver.Status `json:"replicas"`
-	Unreachable []string               `json:"unreachable"` // addresses
+	Leader      string          `json:"leader"` // empty: none
+	Term        uint64          `json:"term"`
+	Replicas    []replicaStatus `json:"replicas"`
+	Unreachable []string        `json:"unreachable"` // addresses
+}
+
+// newest returns the leader, or without one the replica that has applied most; nil if none answers.
+func (s groupStatus) newest() (newest *replicaStatus) {
+	for i := range s.Replicas {
+		r := &s.Replicas[i]
+		if r.Replica == s.Leader {
+			return r
+		}
+		if newest == nil || r.Applied > newest.Applied {
+			newest = r
+		}
+	}
+	return newest
 }
 
 func (p *program) status() *cobra.Command {
@@ -84,7 +91,7 @@
 			status.Unreachable = append(status.Unreachable, queue[i])
 			continue
 		}
-		one := *response.Status
+		one := replicaStatus{queue[i], *response.Status}
 		status.Replicas = append(status.Replicas, one)
 		if one.Leases != nil && one.Term >= status.Term {
 			status.Leader, status.Term = one.Replica, one.Term
@@ -128,7 +135,7 @@
 }
 
 // inForce writes the versions as settings 6+7, drained 2.
-func inForce(r controlserver.Status) string {
+func inForce(r replicaStatus) string {
 	var all []string
 	for _, d := range r.Documents {
 		var numbers []string
