Loop, core: what must hold before a turn's first event can be told to the module first

Need: a process that was stopped and continued may hold nothing that ran out meanwhile, such as a lease on its share of joint budgets, when it handles what queued up in the meantime.

Loop.OnTurnStart calls one function right after the clock was read, before handlers, posted functions and timers; Core.TellFirst puts an event before those left over from the last turn. Tests: the order within a turn, after a pause, and of events in the core.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -285,3 +285,15 @@
 	o.end("k", 3)
 	require.Empty(t, o.byKey, "one that was never sent is forgotten at once")
 }
+
+// What must hold for all of a turn comes before requests that wait from the last one.
+func TestAnEventGoesFirst(t *testing.T) {
+	c, s, w, _ := setUp(func(admission.Event) []admission.Action { return nil })
+	c.Arrive(10*ms, w.request(100*ms))
+	c.Tell(admission.TimerFired{})
+	c.TellFirst(admission.FleetChanged{Unsure: true})
+	c.Turn(10 * ms)
+	require.Len(t, s.seen, 3)
+	require.Equal(t, admission.FleetChanged{Unsure: true}, s.seen[0])
+	require.IsType(t, admission.RequestArrived{}, s.seen[1])
+}
--- a/internal/core/open.go
+++ b/internal/core/open.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
@@ -66,6 +67,10 @@
 // Tell hands the module an event that is of no stream, in order with the others.
 func (c *Core) Tell(ev admission.Event) { c.events = append(c.events, ev) }
 
+// TellFirst hands the module an event before all that wait, those left over from the last turn among them: what it
+// takes away must not be used by any of them.
+func (c *Core) TellFirst(ev admission.Event) { c.events = slices.Insert(c.events, 0, ev) }
+
 // Windows are the times, by class, for which a repeat of a key is recognised; 0 where a class has no keys.
 func Windows(classes []admission.Class) (windows []time.Duration) {
 	for _, class := range classes {
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -51,6 +51,7 @@
 	ready       []unix.EpollEvent
 	timers      timerq.Queue[*Timer]
 	firsts      bool // some source is to be served first
+	turnStart   func(now time.Duration)
 	posted      chan func()
 	buf         []byte
 	start       time.Time
@@ -203,6 +204,11 @@
 // Restart lets Run be called again after Stop.
 func (l *Loop) Restart() { l.stopped = false }
 
+// OnTurnStart has fn called at the start of each turn, right after the clock was read and before any handler, posted
+// function or timer: what holds only until some time, such as a lease, can be given up before the turn's events use it,
+// also after the process was stopped and continued. There is one such function; nil: none.
+func (l *Loop) OnTurnStart(fn func(now time.Duration)) { l.turnStart = fn }
+
 // Turner is called at the end of each turn. It tells when it next needs one: 0 for never.
 type Turner interface {
 	Turn(now time.Duration) (next time.Duration)
@@ -218,6 +224,9 @@
 			return fmt.Errorf("epoll: %w", err)
 		}
 		l.tick()
+		if l.turnStart != nil {
+			l.turnStart(l.now)
+		}
 		if l.firsts {
 			l.serve(l.ready[:max(n, 0)], true)
 		}
--- a/internal/net/loop/loop_test.go
+++ b/internal/net/loop/loop_test.go
@@ -72,3 +72,59 @@
 	})))
 	require.WithinDuration(t, time.Now(), time.Unix(0, int64(seen[0])), time.Minute)
 }
+
+// The function of the turn's start runs with the turn's time, before handlers that go first, before others, posted
+// functions and timers, also where a turn comes long after the last one.
+func TestTheTurnsStartComesBeforeAllElse(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	var order []string
+	note := func(what string) { order = append(order, what) }
+	for _, name := range []string{"first", "other"} {
+		ours, theirs := pair(t)
+		_, err := Write(theirs, []byte("x"))
+		require.NoError(t, err)
+		src, err := l.Watch(ours, In, handler(func(uint32) {
+			note(name)
+			_, _ = Read(ours, l.Buf())
+		}))
+		require.NoError(t, err)
+		if name == "first" {
+			src.First()
+		}
+	}
+	l.After(0, func() { note("timer") })
+	l.Post(func() { note("posted") })
+	var began time.Duration
+	l.OnTurnStart(func(now time.Duration) {
+		note("start")
+		require.Equal(t, l.Now(), now)
+		began = now
+	})
+	before := l.Now()
+	time.Sleep(20 * time.Millisecond) // as if stopped
+	require.NoError(t, l.Run(turns(func(now time.Duration) time.Duration {
+		require.Equal(t, began, now)
+		l.Stop()
+		return 0
+	})))
+	require.Equal(t, []string{"start", "first", "other", "posted", "timer"}, order)
+	require.GreaterOrEqual(t, began-before, 20*time.Millisecond)
+	l.Restart()
+	l.OnTurnStart(nil)
+	l.After(0, func() {})
+	require.NoError(t, l.Run(turns(func(time.Duration) time.Duration {
+		l.Stop()
+		return 0
+	})))
+	require.Equal(t, 1, countOf(order, "start"))
+}
+
+func countOf(list []string, what string) (n int) {
+	for _, s := range list {
+		if s == what {
+			n++
+		}
+	}
+	return n
+}
