Daemon: one agreement on versions, whatever the source that they come from

Need: versions of the settings and of the drained list will come from a control group or, as now, from gossip between members; both must be combined, applied and logged by the same code.

rules.go (290 lines) is split by job: agreement.go combines, applies and logs what a versionSource gives, and offers it the versions of a file; gossip.go feeds it from versions.Node as before. A reload now ends by a callback, since a group answers later. The agreement belongs to the daemon, so that it does without membership. Names are the standard ones.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -115,6 +115,7 @@
 	control   *control
 	door      *mgmt.Door // nil where operators have none
 	members   *members   // nil where ingresses do not talk
+	agreement *agreement // nil where no versions are agreed on with others
 	figures   figures.Figures
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -49,6 +49,20 @@
 	return fmt.Sprintf(" settings=%d", f.Newest)
 }
 
+// version is what is told of the settings, and of the list of drained hosts: their versions, and whether all members
+// act on them.
+func (d *Daemon) version() (f figures.Rules) {
+	f = figures.Rules{Newest: d.told.Version, Oldest: d.told.Version, Acting: 1, Drained: d.told.DrainedVersion}
+	if s := d.drainedSource(); s != nil {
+		f.Drained, f.DrainedStale = s.Newest().Number, len(s.Stale())
+	}
+	if s := d.settingsSource(); s != nil {
+		f.Newest, f.Oldest, f.Acting = s.Newest().Number, s.Acting()[0].Number, len(s.Acting())
+		f.Stale, f.Rejected, f.Alone = len(s.Stale()), len(s.Refused()), s.Alone(d.loop.Now())
+	}
+	return f
+}
+
 // Metrics appends the figures as they stand.
 func (o office) Metrics(room []byte) []byte {
 	d := o.d
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -19,7 +19,7 @@
 type members struct {
 	*peers.Peers
 	me     string
-	rules  *rules // nil where the settings have no version
+	gossip *gossip // nil where no versions are agreed on by it
 	told   admission.FleetChanged
 	states map[string]membership.State // as last logged
 }
@@ -37,7 +37,7 @@
 	}
 	me, now := cfg.Settings.Me, d.loop.Now()
 	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged,
-		Mark: versions.Mark, Other: d.rulesTold}
+		Mark: versions.Mark, Other: d.gossipReceived}
 	var roster []string
 	for i, addr := range cfg.Peers {
 		if i == me || addr == "" {
@@ -63,7 +63,7 @@
 		d.members = nil
 		return err
 	}
-	d.openRules(now)
+	d.openGossip(now)
 	d.membersChanged(now)
 	return nil
 }
@@ -80,7 +80,7 @@
 func (d *Daemon) closeMembers() {
 	if d.members != nil {
 		d.members.Close()
-		d.members = nil
+		d.members, d.agreement = nil, nil
 	}
 }
 
@@ -90,8 +90,8 @@
 	if m == nil || m.Peers == nil {
 		return
 	}
-	if m.rules != nil {
-		d.rulesTick(now)
+	if m.gossip != nil {
+		d.gossipTick(now)
 	}
 	ev := admission.FleetChanged{Unsure: !m.Node().Settled(now)}
 	for _, name := range m.Node().Absent(now) {
@@ -126,6 +126,18 @@
 // view fills in what the control socket tells.
 func (d *Daemon) view(to Members) Members {
 	to.Name = d.cfg.Name
+	if s := d.settingsSource(); s != nil {
+		for _, doc := range s.Acting() {
+			to.Acting = append(to.Acting, doc.Number)
+		}
+		to.Stale, to.CutOff = append(to.Stale, s.Stale()...), s.Alone(d.loop.Now())
+		for v, why := range s.Refused() {
+			to.Rejected = append(to.Rejected, fmt.Sprintf("%v: %s", v, why))
+		}
+	}
+	if d.drainedSource() != nil {
+		to.Drained = append(to.Drained, d.agreement.drainedHosts()...)
+	}
 	m := d.members
 	if m == nil {
 		return to
@@ -133,18 +145,6 @@
 	v, c := m.Node().View(), m.Counts()
 	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
-	if r := m.rules; r != nil && r.settings != nil {
-		for _, doc := range r.settings.Acting() {
-			to.Acting = append(to.Acting, doc.Number)
-		}
-		to.Stale, to.CutOff = append(to.Stale, r.settings.Stale()...), r.settings.Alone(d.loop.Now())
-		for v, why := range r.settings.Refused() {
-			to.Rejected = append(to.Rejected, fmt.Sprintf("%v: %s", v, why))
-		}
-	}
-	if r := m.rules; r != nil && r.drained != nil {
-		to.Drained = append(to.Drained, r.hosts()...)
-	}
 	for _, o := range v.Members {
 		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
 	}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -24,18 +24,11 @@
 			d.o.Limit(&to.Limits)
 		}
 		d.loop.Post(func() {
-			if err == nil {
-				to, err = d.offered(to)
-			}
 			if err != nil {
-				d.figures.ReconfigFailed++
-				d.log.Error("configuration not reloaded", "error", err)
-			} else {
-				d.take(was, to)
-			}
-			if d.reloads--; d.reloads > 0 {
-				d.readAgain()
+				d.reloaded(was, to, err)
+				return
 			}
+			d.offerFile(to, func(to config.Config, err error) { d.reloaded(was, to, err) })
 		})
 		select {
 		case d.reload <- struct{}{}:
@@ -44,6 +37,19 @@
 	}()
 }
 
+// reloaded ends one reading, and begins the next if one was asked for meanwhile.
+func (d *Daemon) reloaded(was, to config.Config, err error) {
+	if err != nil {
+		d.figures.ReconfigFailed++
+		d.log.Error("configuration not reloaded", "error", err)
+	} else {
+		d.take(was, to)
+	}
+	if d.reloads--; d.reloads > 0 {
+		d.readAgain()
+	}
+}
+
 // take goes on under a configuration that was found good.
 func (d *Daemon) take(was, to config.Config) {
 	d.figures.ReconfigOK++
