--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -79,6 +79,14 @@
 	Datagrams       int           // read from peers in a turn of the loop
 	DatagramsSecond int           // and taken in in a second: the rest is dropped
 
+	// Of the control group, where there is one.
+	ControlReadyWait time.Duration // after which a new process is ready though it holds no lease
+	ControlDial      time.Duration // for a connection to a replica to come up
+	ControlSilence   time.Duration // after which a replica that has said nothing is left for the next one
+	ControlAnswer    time.Duration // for the group to tell what became of a proposed version
+	ControlEnd       time.Duration // at the end, for a replica to see that this process has given up its leases
+	ControlQueue     int           // bytes of requests that a replica may leave unread
+
 	TelemetryQueue int           // records, and spans, that may wait to be exported
 	TelemetryEvery time.Duration // between exports
 }
@@ -162,6 +170,10 @@
 		Probation: 2 * time.Second, HandoverBytes: 16 << 20, HandoverQueue: 256 << 10, CounterShared: 8,
 		TelemetryQueue: 2048, TelemetryEvery: 5 * time.Second,
 		MemberPeriod: 300 * time.Millisecond, MemberAck: 100 * time.Millisecond, MemberSuspect: 1000 * time.Millisecond,
+		// A silent replica is left while half a second of a settings lease of 1.5 s remains for the next one. Longer than
+		// an election, in which no replica has anything to say.
+		ControlReadyWait: 2 * time.Second, ControlDial: 300 * time.Millisecond, ControlSilence: time.Second,
+		ControlAnswer: 5 * time.Second, ControlEnd: 100 * time.Millisecond, ControlQueue: 256 << 10,
 		MemberHelpers: 2, MemberCarry: 6, Datagrams: 64, DatagramsSecond: 400,
 	}
 	// Clients may come before a process that took a dead one's place is up, and what it would have been told had it
