Control client, relays: a silent first word, and a reset that is met in writing

A replica that takes connections and says nothing held an ingress up for a second, and counted as connected. And a relay that met a reset in writing read the same connection's end as an orderly one, by which a replica took a living ingress for ended: the kernel reports a reset once, to whoever asks first.

The client expects the first word of a connection within 0.5 s, counts as connected once it has heard one, and says no more at the end than the end itself.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -82,6 +82,7 @@
 	// Of the control group, where there is one.
 	ControlReadyWait time.Duration // after which a new process is ready though it holds no lease
 	ControlDial      time.Duration // for a connection to a replica to come up
+	ControlFirst     time.Duration // for the first word on it
 	ControlSilence   time.Duration // after which a replica that has said nothing is left for the next one
 	ControlAnswer    time.Duration // for the group to tell what became of a proposed version
 	ControlEnd       time.Duration // at the end, for a replica to see that this process has given up its leases
@@ -172,7 +173,8 @@
 		MemberPeriod: 300 * time.Millisecond, MemberAck: 100 * time.Millisecond, MemberSuspect: 1000 * time.Millisecond,
 		// A silent replica is left while half a second of a settings lease of 1.5 s remains for the next one. Longer than
 		// an election, in which no replica has anything to say.
-		ControlReadyWait: 2 * time.Second, ControlDial: 300 * time.Millisecond, ControlSilence: time.Second,
+		ControlReadyWait: 2 * time.Second, ControlDial: 300 * time.Millisecond,
+		ControlFirst: 500 * time.Millisecond, ControlSilence: time.Second,
 		ControlAnswer: 5 * time.Second, ControlEnd: 100 * time.Millisecond, ControlQueue: 256 << 10,
 		MemberHelpers: 2, MemberCarry: 6, Datagrams: 64, DatagramsSecond: 400,
 	}
--- a/internal/net/controlclient/connection.go
+++ b/internal/net/controlclient/connection.go
@@ -14,6 +14,7 @@
 	client *Client
 	source *loop.Source
 	up     bool   // it has been established
+	heard  bool   // the replica has sent a message
 	ending bool   // GiveUp: what is left is written, then our side ends; what comes is dropped
 	in     []byte // of a message that is not complete
 	out    []byte // not written yet
@@ -86,11 +87,11 @@
 	}
 }
 
-// end writes the last messages, and then ends our side.
-func (c *connection) end(list []controlgroup.Message) {
+// end writes what waits, and then ends our side.
+func (c *connection) end() {
 	c.ending = true
 	c.limit.Stop()
-	c.send(list)
+	c.flush()
 }
 
 func (c *connection) endSending() {
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -88,6 +88,24 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
+// A reset that the relay meets in writing is passed on as one all the same.
+func TestRelaysPassOnAResetMetInWriting(t *testing.T) {
+	for range 20 {
+		r, ingress, replica := relayed(t)
+		r.Set(func(_, _ int, way Direction) bool { return way == ToReplica })
+		says(t, ingress, "held")
+		reset(ingress)
+		for range 20 {
+			_, _ = io.WriteString(replica, "x")
+			time.Sleep(100 * time.Microsecond)
+		}
+		r.Set(nil)
+		_, err := io.Copy(io.Discard, replica)
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		r.Close()
+	}
+}
+
 // A connection to a replica that is not there is reset, and one that is begun in a cut comes up when that is over.
 func TestRelaysBeginConnections(t *testing.T) {
 	r, ln := relays(t)
