Daemon: settings, share and readiness by a control group, where one is configured

Need: a member that is dead or cut off must delay a change by one lease and not for ever, and a restarted one must have its share of joint budgets in a round trip, not after every member's word.

control_group of the program's own settings (replicas, ready_wait; none: off) has the daemon open controlclient on its loop. The versions to act on come from controlgroup.Member through the versionSource of the agreement, so combining, following and the log lines are those of gossip, which is off then. SIGHUP proposes the file's version and ends when the group has answered; replicas without a leader are asked again. The module has the share while the share lease is held, which is checked at the start of each turn. At the end of a drain and with an upgrade's commit the module loses the share first, then the connection ends in the orderly way. Status, STATUS, METRICS and log tell lease, share, term and versions.

--- a/cmd/ferryfront/config.go
+++ b/cmd/ferryfront/config.go
@@ -45,7 +45,7 @@
 	if level == "" {
 		c.Log.Level = s.Log.Level
 	}
-	o.Members = s.Membership.Enabled
+	o.Members, o.ControlReplicas = s.Membership.Enabled, s.ControlGroup.Replicas
 	c.Limit = func(l *limits.Limits) {
 		// Read has made sure that it can be put in place.
 		_ = s.Limit(l)
--- a/deploy/ferryfront.cue
+++ b/deploy/ferryfront.cue
@@ -16,3 +16,7 @@
 // Which ingresses are there, found out by messages between them. Needs peer_listen and peers in GW_CONFIG, and all
 // ingresses of the fleet to have it.
 membership: enabled: false
+
+// The replicas of the control group, from which this ingress gets the versions of settings in force and its leases, as
+// "10.0.1.7:7400". None: there is no control group. All ingresses of the fleet name the same in the same order.
+control_group: replicas: []
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -33,7 +33,9 @@
 	Connections int    `json:"connections"`
 	Upstreams   int    `json:"upstreams"`
 	Customers   int    `json:"customers"`
-	Error       string `json:"error,omitempty"`
+	// Control is of the control group, null: there is none.
+	Control *ControlStatus `json:"control_group,omitempty"`
+	Error   string         `json:"error,omitempty"`
 }
 
 // Members answers "members": the view of one ingress, and what of joint budgets it takes.
@@ -209,7 +211,7 @@
 	return onLoop(d, Status{Error: "the daemon does not answer"}, func() Status {
 		s := Status{Name: d.cfg.Name, Version: d.o.Version, Pid: os.Getpid(), Phase: d.pred.machine.State.String(),
 			Streams: d.core.Open(), Connections: d.server.Connections(), Upstreams: d.hosts.Connections(),
-			Customers: d.module.Known()}
+			Customers: d.module.Known(), Control: d.controlStatus()}
 		if d.trial() {
 			s.Phase = d.succ.machine.State.String()
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,12 +41,14 @@
 	Control   string                                         // path of the control socket, empty: none
 	Version   string
 	Log       *slog.Logger
-	Command   []string              // what starts the next process of an upgrade: the binary's path, its arguments
-	Members   bool                  // ingresses tell each other who is there
-	Limit     func(*limits.Limits)  // changes bounds as the program's own settings say, nil: none
-	Signals   <-chan os.Signal      // SIGTERM and SIGINT end, SIGHUP reloads, SIGUSR2 upgrades
-	Notify    func(state ...string) // tells the service manager, see sd_notify(3)
-	Getenv    func(string) string   // environment
+	Command   []string // what starts the next process of an upgrade: the binary's path, its arguments
+	Members   bool     // ingresses tell each other who is there
+	// ControlReplicas are the addresses of the control group's replicas, none: there is no control group.
+	ControlReplicas []string
+	Limit           func(*limits.Limits)  // changes bounds as the program's own settings say, nil: none
+	Signals         <-chan os.Signal      // SIGTERM and SIGINT end, SIGHUP reloads, SIGUSR2 upgrades
+	Notify          func(state ...string) // tells the service manager, see sd_notify(3)
+	Getenv          func(string) string   // environment
 }
 
 // Run runs a daemon until its end. A process that was started by another's upgrade takes that one's place.
@@ -81,6 +83,7 @@
 		}
 	}()
 	err = errors.Join(d.loop.Run(d), d.fault)
+	d.endControlGroup(nil) // nothing is sent on any more, however it came to the end
 	d.control.finish()
 	if d.telemetry != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), flushMost)
@@ -113,9 +116,11 @@
 	watcher   *discovery.Watcher
 	fronts    []opening
 	control   *control
-	door      *mgmt.Door // nil where operators have none
-	members   *members   // nil where ingresses do not talk
-	agreement *agreement // nil where no versions are agreed on with others
+	door      *mgmt.Door    // nil where operators have none
+	members   *members      // nil where ingresses do not talk
+	group     *controlGroup // nil where there is none, or while another process has this one's place
+	agreement *agreement    // nil where no versions are agreed on with others
+	agreed    *agreed       // from the last time that another process took this one's place
 	figures   figures.Figures
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
@@ -158,6 +163,7 @@
 	if err := errors.Join(d.openControl(), d.openDoor(), d.openMembers()); err != nil {
 		return err
 	}
+	d.openControlGroup()
 	d.await()
 	d.log.Info("serving", "version", d.o.Version, "listen", d.cfg.Listen)
 	d.o.Notify("READY=1")
@@ -325,7 +331,7 @@
 	if d.drained && d.core.Open() == 0 && d.server.Connections() == 0 && !d.leaving {
 		d.leaving = true
 		d.log.Info("drained")
-		d.sayLeave(d.loop.Stop)
+		d.sayLeave(func() { d.giveUpControlGroup(d.loop.Stop) })
 	}
 	return next
 }
--- a/internal/daemon/door.go
+++ b/internal/daemon/door.go
@@ -69,8 +69,11 @@
 	room = d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
 	room = figures.AppendRules(room, d.version())
+	if d.group != nil {
+		room = figures.AppendControl(room, d.group.figures(d.loop.Now()))
+	}
 	if d.members == nil {
 		return room
 	}
-	return figures.AppendFleet(room, d.members.present(d.loop.Now()))
+	return figures.AppendFleet(room, d.present(d.loop.Now()))
 }
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -63,7 +63,9 @@
 		d.members = nil
 		return err
 	}
-	d.openGossip(now)
+	if len(d.o.ControlReplicas) == 0 {
+		d.openGossip(now)
+	}
 	d.membersChanged(now)
 	return nil
 }
@@ -79,8 +81,11 @@
 // closeMembers says and hears no more.
 func (d *Daemon) closeMembers() {
 	if d.members != nil {
+		if d.members.gossip != nil {
+			d.agreement = nil
+		}
 		d.members.Close()
-		d.members, d.agreement = nil, nil
+		d.members = nil
 	}
 }
 
@@ -93,6 +98,20 @@
 	if m.gossip != nil {
 		d.gossipTick(now)
 	}
+	if len(d.o.ControlReplicas) == 0 { // else the group grants the share
+		d.shareChanged(now)
+	}
+	for _, o := range m.Node().View().Members {
+		if was := m.states[o.Name]; was != o.State {
+			m.states[o.Name] = o.State
+			d.log.Info("member", "member", o.Name, "state", o.State.String(), "was", was.String(), "incarnation", o.Incarnation)
+		}
+	}
+}
+
+// shareChanged tells the module of a change in who shares joint budgets, by the view of the membership.
+func (d *Daemon) shareChanged(now time.Duration) {
+	m := d.members
 	ev := admission.FleetChanged{Unsure: !m.Node().Settled(now)}
 	for _, name := range m.Node().Absent(now) {
 		if i, err := strconv.Atoi(name); err == nil && i < d.cfg.Settings.Gateways {
@@ -104,18 +123,13 @@
 		d.core.Tell(ev)
 		d.log.Info("share of joint budgets", "settled", !ev.Unsure, "counted_out", fmt.Sprint(ev.Out))
 	}
-	for _, o := range m.Node().View().Members {
-		if was := m.states[o.Name]; was != o.State {
-			m.states[o.Name] = o.State
-			d.log.Info("member", "member", o.Name, "state", o.State.String(), "was", was.String(), "incarnation", o.Incarnation)
-		}
-	}
 }
 
 // present is what the door tells.
-func (m *members) present(now time.Duration) figures.Fleet {
+func (d *Daemon) present(now time.Duration) figures.Fleet {
+	m := d.members
 	v, c := m.Node().View(), m.Counts()
-	f := figures.Fleet{Version: v.Version, Absent: len(m.told.Out), Settled: m.Node().Settled(now), Sent: c.Sent, Got: c.Got,
+	f := figures.Fleet{Version: v.Version, Absent: len(m.told.Out), Settled: d.settled(now), Sent: c.Sent, Got: c.Got,
 		Dropped: c.Dropped}
 	for _, s := range membership.States {
 		f.States = append(f.States, figures.State{Name: s.String(), N: v.Count(s)})
@@ -138,12 +152,13 @@
 	if d.drainedSource() != nil {
 		to.Drained = append(to.Drained, d.agreement.drainedHosts()...)
 	}
+	to.Settled = d.settled(d.loop.Now())
 	m := d.members
 	if m == nil {
 		return to
 	}
 	v, c := m.Node().View(), m.Counts()
-	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
+	to.Enabled, to.Version = true, v.Version
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
 	for _, o := range v.Members {
 		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -307,6 +307,7 @@
 		d.log.Warn("control socket not opened", "error", err)
 	}
 	d.openMembersAgain()
+	d.openControlGroup()
 	d.await()
 	d.log.Info("taken over", "version", d.o.Version, "from", s.welcome.GetVersion(), "listen", d.cfg.Listen,
 		"customers", s.customers, "streams", d.core.Theirs(), "clock", d.loop.Offset())
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -113,6 +113,25 @@
 	return line(b, "peer_messages_dropped", f.Dropped)
 }
 
+// Control is what an ingress holds of the control group, where there is one.
+type Control struct {
+	Connected, Lease, Share bool   // a replica is connected; the settings lease and the share lease are held
+	Term                    uint64 // of the leader that granted last
+	Connections             uint64 // to replicas, that came up
+	Sent, Received          uint64 // bytes
+}
+
+// AppendControl writes them in the same form.
+func AppendControl(b []byte, f Control) []byte {
+	b = flag(b, "control_connected", f.Connected)
+	b = flag(b, "control_lease", f.Lease)
+	b = flag(b, "control_share", f.Share)
+	b = line(b, "control_term", f.Term)
+	b = line(b, "control_connections", f.Connections)
+	b = line(b, "control_bytes_sent", f.Sent)
+	return line(b, "control_bytes_received", f.Received)
+}
+
 // flag is a line of 1 or 0.
 func flag(b []byte, name string, on bool) []byte {
 	if on {
--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -54,3 +54,14 @@
 `, string(AppendRules(nil, Rules{Newest: 9, Oldest: 7, Acting: 2, Stale: 3, Rejected: 4, Alone: true,
 		Drained: 5, DrainedStale: 2})))
 }
+
+func TestAppendControl(t *testing.T) {
+	require.Equal(t, `app_control_connected 1
+app_control_lease 1
+app_control_share 0
+app_control_term 6
+app_control_connections 3
+app_control_bytes_sent 400
+app_control_bytes_received 500
+`, string(AppendControl(nil, Control{Connected: true, Lease: true, Term: 6, Connections: 3, Sent: 400, Received: 500})))
+}
--- a/internal/own/own.go
+++ b/internal/own/own.go
@@ -5,15 +5,18 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
-	"cuelang.org/go/cue/errors"
+	cueerrors "cuelang.org/go/cue/errors"
 	"cuelang.org/go/cue/format"
 
 	"ferryfront.example/ferryfront/internal/front/openapi"
@@ -38,6 +41,10 @@
 		Period, Ack, Suspect string
 		Helpers              int
 	}
+	ControlGroup struct {
+		Replicas  []string
+		ReadyWait string `json:"ready_wait"`
+	} `json:"control_group"`
 	Handover struct{ Hello, Prepare, Copy, Freeze, Probation string }
 
 	path string
@@ -56,6 +63,9 @@
 	if err := s.Limit(&limits.Limits{}); err != nil {
 		return nil, err
 	}
+	if err := checkReplicas(path, v, s.ControlGroup.Replicas); err != nil {
+		return nil, err
+	}
 	if s.Front != nil {
 		if _, err := s.File(); err != nil {
 			return nil, err
@@ -64,6 +74,25 @@
 	return s, nil
 }
 
+// checkReplicas tells the first address of the control group that can't be one, or is there twice.
+func checkReplicas(path string, v cue.Value, replicas []string) error {
+	for i, addr := range replicas {
+		at, err := netip.ParseAddrPort(addr)
+		switch {
+		case err == nil && at.Port() == 0:
+			err = errors.New("port 0")
+		case err == nil && slices.Contains(replicas[:i], addr):
+			err = errors.New("it is there twice")
+		}
+		if err != nil {
+			field := fmt.Sprintf("control_group.replicas[%d]", i)
+			line := v.LookupPath(cue.ParsePath(field)).Pos().Line()
+			return fmt.Errorf("settings: %s:%d: %s: %q is no address of a replica: %w", path, line, field, addr, err)
+		}
+	}
+	return nil
+}
+
 // Show returns a file as it is in force: checked, with defaults, in CUE.
 func Show(path string) (string, error) {
 	v, err := load(path)
@@ -102,9 +131,9 @@
 // clash, the file's own is told.
 func explain(path string, err error) error {
 	var lines []string
-	for _, e := range errors.Errors(err) {
+	for _, e := range cueerrors.Errors(err) {
 		at := path
-		for _, pos := range append(errors.Positions(e), e.Position()) {
+		for _, pos := range append(cueerrors.Positions(e), e.Position()) {
 			if pos.IsValid() && pos.Filename() == path {
 				at = fmt.Sprintf("%s:%d", path, pos.Line())
 				break
@@ -131,6 +160,7 @@
 		name, text string
 		to         *time.Duration
 	}{{"telemetry.every", s.Telemetry.Every, &l.TelemetryEvery},
+		{"control_group.ready_wait", s.ControlGroup.ReadyWait, &l.ControlReadyWait},
 		{"membership.period", s.Membership.Period, &l.MemberPeriod}, {"membership.ack", s.Membership.Ack, &l.MemberAck},
 		{"membership.suspect", s.Membership.Suspect, &l.MemberSuspect}, {"handover.hello", s.Handover.Hello, &l.HelloMost},
 		{"handover.prepare", s.Handover.Prepare, &l.PrepareMost}, {"handover.copy", s.Handover.Copy, &l.CopyMost},
--- a/internal/own/own_test.go
+++ b/internal/own/own_test.go
@@ -44,11 +44,17 @@
 
 func TestErrorsNameFileLineAndField(t *testing.T) {
 	for text, says := range map[string]string{
-		"membership: enabled: 1":            ":1: membership.enabled",
-		"log: {}\nmembership: {helpers: 9}": ":2: membership.helpers",
-		`membership: period: "soon"`:        ":1: membership.period",
-		`membership: {on: true}`:            ":1: membership.on",
-		`membership: {period: "50ms"}`:      `membership.ack: "100ms" is longer than membership.period`,
+		"membership: enabled: 1":                                                                 ":1: membership.enabled",
+		"log: {}\nmembership: {helpers: 9}":                                                      ":2: membership.helpers",
+		`membership: period: "soon"`:                                                             ":1: membership.period",
+		`membership: {on: true}`:                                                                 ":1: membership.on",
+		`control_group: on: true`:                                                                ":1: control_group.on",
+		"control_group: {\n\treplicas: [\"10.0.0.1:7400\", \"nowhere\"]\n}":                      ":2: control_group.replicas.1: ",
+		"control_group: replicas: [\n\"10.0.0.1:7400\",\n\"10.0.0.1:99999\",\n]":                 ":3: control_group.replicas[1]: ",
+		"control_group: replicas: [\n\"10.0.0.1:7400\",\n\"10.0.0.2:7400\",\n\"10.0.0.1:7400\"]": `:4: control_group.replicas[2]: "10.0.0.1:7400" is no address of a replica: it is there twice`,
+		"control_group: replicas: [\"10.0.0.1:0\"]":                                              ":1: control_group.replicas[0]: ",
+		`control_group: ready_wait: "0s"`:                                                        "control_group.ready_wait",
+		`membership: {period: "50ms"}`:                                                           `membership.ack: "100ms" is longer than membership.period`,
 	} {
 		path := file(t, text)
 		_, err := Read(path)
@@ -56,3 +62,16 @@
 		require.ErrorContains(t, err, says)
 	}
 }
+
+// There is a control group only where the file names its replicas.
+func TestTheControlGroupIsOffUnlessNamed(t *testing.T) {
+	s, err := Read(file(t, ``))
+	require.NoError(t, err)
+	require.Empty(t, s.ControlGroup.Replicas)
+	s, err = Read(file(t, `control_group: {replicas: ["127.0.0.1:7400", "[::1]:7401"], ready_wait: "3s"}`))
+	require.NoError(t, err)
+	require.Equal(t, []string{"127.0.0.1:7400", "[::1]:7401"}, s.ControlGroup.Replicas)
+	var l limits.Limits
+	require.NoError(t, s.Limit(&l))
+	require.Equal(t, 3*time.Second, l.ControlReadyWait)
+}
--- a/internal/own/schema.cue
+++ b/internal/own/schema.cue
@@ -35,6 +35,16 @@
 		helpers: int & >=0 & <=8 | *2
 	}
 
+	// The replicas of the control group, which hold the versions of settings and of the drained list and grant
+	// this ingress its leases. None: off, and ingresses agree by membership alone. All ingresses of a fleet name
+	// the same replicas in the same order.
+	control_group: {
+		// Of an IP address and a port each.
+		replicas: [...#Address] | *[]
+		// After which a new process is ready though it has reached no replica.
+		ready_wait: #Time | *"2s"
+	}
+
 	// The bounds of an upgrade, by phase.
 	handover: {
 		hello:     #Time | *"2s"
@@ -47,6 +57,9 @@
 
 #Time: =~"^([0-9]+(\\.[0-9]+)?(h|m|s|ms|us))+$"
 
+// An IP address and a port: "192.0.2.7:7400", "[2001:db8::7]:7400".
+#Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[0-9]+$"
+
 #Place: {
 	in?:      "header" | "query" | "path"
 	name?:    string & !=""
--- /dev/null
+++ b/internal/standin/controlgroup.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// ControlGroup is the replicas of a control group: processes of the real binary.
+type ControlGroup struct {
+	Binary   string
+	Dir      string
+	Flags    []string // more of each
+	replicas []*controlReplica
+}
+
+// controlReplica is one, whichever process serves it now.
+type controlReplica struct {
+	id, listen, raft, log string
+	process               *exec.Cmd // nil: none
+	ended                 chan struct{}
+}
+
+// NewControlGroup starts so many replicas, whose files go into dir, and waits until one of them leads.
+func NewControlGroup(dir, binary string, replicas int, flags ...string) (*ControlGroup, error) {
+	g := &ControlGroup{Binary: binary, Dir: dir, Flags: flags}
+	for i := range replicas {
+		r := &controlReplica{id: fmt.Sprintf("r%d", i), log: filepath.Join(dir, fmt.Sprintf("r%d.log", i))}
+		var err error
+		if r.listen, err = Free(); err != nil {
+			return nil, err
+		}
+		if r.raft, err = Free(); err != nil {
+			return nil, err
+		}
+		g.replicas = append(g.replicas, r)
+	}
+	for i := range g.replicas {
+		if err := g.Start(i); err != nil {
+			g.Close()
+			return nil, err
+		}
+	}
+	if _, err := g.Leader(10 * time.Second); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// Addrs are where the replicas take ingresses.
+func (g *ControlGroup) Addrs() (addrs []string) {
+	for _, r := range g.replicas {
+		addrs = append(addrs, r.listen)
+	}
+	return addrs
+}
+
+// Start starts a replica that does not run, on what its directory holds.
+func (g *ControlGroup) Start(i int) error {
+	r := g.replicas[i]
+	args := []string{"serve", "--id", r.id, "--listen", r.listen, "--raft", r.raft, "--data", filepath.Join(g.Dir, r.id)}
+	for _, other := range g.replicas {
+		args = append(args, "--replica", other.id+"="+other.raft+","+other.listen)
+	}
+	log, err := os.OpenFile(r.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(g.Binary, append(args, g.Flags...)...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	r.process, r.ended = cmd, make(chan struct{})
+	go func(ended chan struct{}) {
+		_ = cmd.Wait()
+		close(ended)
+	}(r.ended)
+	return nil
+}
+
+// Kill ends a replica at once.
+func (g *ControlGroup) Kill(i int) {
+	r := g.replicas[i]
+	if r.process == nil {
+		return
+	}
+	_ = r.process.Process.Kill()
+	<-r.ended
+	r.process = nil
+}
+
+// Signal sends a replica a signal.
+func (g *ControlGroup) Signal(i int, s syscall.Signal) {
+	if p := g.replicas[i].process; p != nil {
+		_ = p.Process.Signal(s)
+	}
+}
+
+// controlStatus is what is read of the answer of ferrycontrol status.
+type controlStatus struct {
+	Leader string `json:"leader"`
+}
+
+// Leader is the number of the replica that leads, waited for so long.
+func (g *ControlGroup) Leader(most time.Duration) (int, error) {
+	for end := time.Now().Add(most); ; time.Sleep(20 * time.Millisecond) {
+		name, err := g.leader()
+		for i, r := range g.replicas {
+			if err == nil && r.id == name {
+				return i, nil
+			}
+		}
+		if time.Now().After(end) {
+			return 0, errors.Join(errors.New("no replica leads"), err, errors.New(g.Logs()))
+		}
+	}
+}
+
+func (g *ControlGroup) leader() (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	args := []string{"status", "--json"}
+	for _, r := range g.replicas {
+		args = append(args, "--replica", r.listen)
+	}
+	out, err := exec.CommandContext(ctx, g.Binary, args...).Output()
+	if err != nil {
+		return "", err
+	}
+	var s controlStatus
+	err = json.Unmarshal(out, &s)
+	return s.Leader, err
+}
+
+// Logs are what the replicas have logged.
+func (g *ControlGroup) Logs() (text string) {
+	for _, r := range g.replicas {
+		raw, _ := os.ReadFile(r.log)
+		text += "== " + r.id + "\n" + string(raw)
+	}
+	return text
+}
+
+// Close ends all replicas. It is safe on nil.
+func (g *ControlGroup) Close() {
+	if g == nil {
+		return
+	}
+	for i := range g.replicas {
+		g.Kill(i)
+	}
+}
--- a/internal/standin/relays_test.go
+++ b/internal/standin/relays_test.go
@@ -72,14 +72,14 @@
 
 // An orderly end arrives as one, and a reset as one, both no sooner than the cut is over.
 func TestRelaysKeepEndsApart(t *testing.T) {
-	r, ingress, replica := relayed(t)
+	_, ingress, replica := relayed(t)
 	require.NoError(t, ingress.(*net.TCPConn).CloseWrite())
 	_, err := replica.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 	says(t, replica, "still")
 	hears(t, ingress, "still")
 
-	r, ingress, replica = relayed(t)
+	r, ingress, replica := relayed(t)
 	r.Set(func(_, _ int, way Direction) bool { return way == ToReplica })
 	reset(ingress)
 	quiet(t, replica)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -41,9 +41,10 @@
 	Plans            []map[string]any // as in an ingress's settings; nil: one that hardly limits, one with a ceiling
 	Settings         string           // text of the program's own settings beyond the control socket
 	Sockets          int
-	Version          int    // of the settings; 0: they have none
-	Links            *Links // between ingresses that talk; nil: they do not
-	Bare             bool   // without settings of the program's own, and so without a control socket
+	Version          int                   // of the settings; 0: they have none
+	Links            *Links                // between ingresses that talk; nil: they do not
+	Replicas         func(me int) []string // of the control group, as an ingress reaches them; nil: there is none
+	Bare             bool                  // without settings of the program's own, and so without a control socket
 }
 
 // Window is for which the cells of a world know a key.
@@ -158,7 +159,7 @@
 	if err := in.Configure(func(map[string]any, map[string]any) {}); err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(own, fmt.Appendf(nil, "control: %q\n%s", in.Control, s.Settings), 0o600); err != nil {
+	if err := os.WriteFile(own, []byte(s.own(in.Control, me)), 0o600); err != nil {
 		return nil, err
 	}
 	in.env = append(os.Environ(), "GW_CONFIG="+in.config)
@@ -172,6 +173,16 @@
 	return in, in.Ready(10 * time.Second)
 }
 
+// own is the text of an ingress's own settings.
+func (s Shape) own(control string, me int) string {
+	text := fmt.Sprintf("control: %q\n%s", control, s.Settings)
+	if s.Replicas != nil {
+		list, _ := json.Marshal(s.Replicas(me)) // of texts, which can be written
+		text += fmt.Sprintf("\ncontrol_group: replicas: %s\n", list)
+	}
+	return text
+}
+
 // Configure changes the ingress's configuration, and its settings, on disk. SIGHUP has a process read it.
 func (in *Ingress) Configure(change func(config, settings map[string]any)) error {
 	change(in.told, in.told["settings"].(map[string]any))
