--- a/internal/controlserver/admin.go
+++ b/internal/controlserver/admin.go
@@ -162,10 +162,12 @@
 	return response
 }
 
-// Status returns this replica's view.
+// Status returns this replica's view. The leases come first: a leader has them once it has applied all that earlier
+// ones have committed, so the documents are no older.
 func (s *Server) Status() Status {
+	leases := s.leaseStatus()
 	status := Status{Replica: s.cfg.ID, State: s.state(), Leader: s.node.leader(), Term: s.node.raft.CurrentTerm(),
-		Applied: s.node.raft.AppliedIndex(), Members: s.members.count()}
+		Applied: s.node.raft.AppliedIndex(), Members: s.members.count(), Leases: leases}
 	for _, server := range s.node.servers() {
 		status.Replicas = append(status.Replicas, ReplicaStatus{string(server.ID), string(server.Address),
 			s.listenAddress(server.ID), server.Suffrage == raft.Voter})
@@ -177,7 +179,6 @@
 		}
 		status.Documents = append(status.Documents, DocumentStatus{d.name, inForce})
 	}
-	status.Leases = s.leaseStatus()
 	return status
 }
 
@@ -244,15 +245,15 @@
 		return fmt.Errorf("%sreplace: %s does not lead", unavailable, s.cfg.ID)
 	case old == s.cfg.ID:
 		if err := s.node.raft.LeadershipTransfer().Error(); err != nil {
-			return err
+			return fmt.Errorf("%sreplace: %s can't hand over: %w", unavailable, s.cfg.ID, err)
 		}
 		return fmt.Errorf("%sreplace: %s leads no longer, ask the new leader", unavailable, s.cfg.ID)
 	}
 	if _, err := Ask(s.context, with.Listen, Request{Op: OpPosition}); err != nil {
 		return fmt.Errorf("replace: the new replica does not answer: %w", err)
 	}
-	if err := s.node.replace(old, *with); err != nil {
-		return err
+	if err := s.node.replace(old, *with); err != nil { // each step may be made again
+		return fmt.Errorf("%sreplace: %w", unavailable, err)
 	}
 	s.log.Info("replica replaced", "old", old, "new", with.ID, "raft", with.Raft, "listen", with.Listen)
 	return nil
