--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -19,7 +19,9 @@
 	n       int // members
 	world   *standin.World
 	links   *standin.Links
-	cut     func(a, b int) bool // the split that there is, nil: none
+	cut     func(a, b int) bool   // the split that there is, nil: none
+	group   *standin.ControlGroup // nil: there is none
+	relays  *standin.Relays       // to it
 	clients []*standin.Clients
 	// newRules is when all had agreed on stricter settings that were rolled out, zero: none were.
 	newRules time.Time
@@ -109,33 +111,40 @@
 
 // newFleet starts n members whose settings begin with a version; 0: they have none.
 func newFleet(setup Setup, n, version int) (*fleet, error) {
-	if setup.Say == nil {
-		setup.Say = func(string, ...any) {}
+	f := &fleet{Setup: setup, n: n}
+	var err error
+	if f.links, err = standin.NewLinks(n); err != nil {
+		return nil, err
 	}
 	dir, err := os.MkdirTemp(setup.Dir, "fleet")
 	if err != nil {
+		f.links.Close()
 		return nil, err
 	}
-	f := &fleet{Setup: setup, n: n}
-	if f.links, err = standin.NewLinks(n); err != nil {
-		return nil, err
+	return f, f.start(dir, standin.Shape{Settings: "membership: enabled: true\n", Links: f.links, Version: version})
+}
+
+// start starts the members and all around them. On an error everything is ended again.
+func (f *fleet) start(dir string, shape standin.Shape) error {
+	if f.Say == nil {
+		f.Say = func(string, ...any) {}
 	}
-	shape := standin.Shape{Hosts: 8, Ingresses: n, Work: 30 * time.Millisecond, Settings: "membership: enabled: true\n",
-		Links: f.links, Sockets: 512, Version: version}
+	shape.Hosts, shape.Ingresses, shape.Work, shape.Sockets = 8, f.n, 30*time.Millisecond, 512
+	var err error
 	if f.world, err = standin.NewWorld(dir, shape); err != nil {
-		f.links.Close()
-		return nil, err
+		f.close()
+		return err
 	}
-	for i := range n {
-		in, err := f.world.Start(setup.Ferryfront, shape)
+	for i := range f.n {
+		in, err := f.world.Start(f.Ferryfront, shape)
 		if err != nil {
 			f.close()
-			return nil, err
+			return err
 		}
 		f.clients = append(f.clients, &standin.Clients{Addr: in.Addr, Record: f.world.Record, Via: i,
 			Wait: 2500 * time.Millisecond})
 	}
-	return f, nil
+	return nil
 }
 
 func (f *fleet) close() {
@@ -143,8 +152,12 @@
 		f.signal(i, syscall.SIGCONT) // what is stopped can't be waited for
 		c.Close()
 	}
-	f.world.Close()
+	if f.world != nil {
+		f.world.Close()
+	}
 	f.links.Close()
+	f.relays.Close()
+	f.group.Close()
 }
 
 // Tenants of the experiment: those within their quotas come through three members each, those with a ceiling through
