--- a/admission/servers.go
+++ b/admission/servers.go
@@ -61,11 +61,16 @@
 	g.recheck()
 }
 
+// SubsetSize is how many of the hosts that are up each ingress of a fleet uses while all is well.
+func SubsetSize(hosts, ingresses int) int {
+	return max(leastHosts, (leastDoors*hosts+ingresses-1)/ingresses)
+}
+
 // rank orders the servers that are up by this door's preference. It uses the first few that it can: else many
 // doors would all be connected to all, and learn of none. Harms where the few are all bad.
 func (g *Gateway) rank() {
 	up := slices.DeleteFunc(slices.Clone(g.ring), func(s *server) bool { return s.State != Up })
-	g.near = max(leastHosts, (leastDoors*len(up)+g.s.Gateways-1)/g.s.Gateways)
+	g.near = SubsetSize(len(up), g.s.Gateways)
 	g.order = rendezvous.Sort(up, func(s *server) string { return s.Name }, g.s.Me, g.s.Gateways, g.near)
 }
 
