--- a/internal/capacity/counter_sim.go
+++ b/internal/capacity/counter_sim.go
@@ -78,7 +78,7 @@
 func measureCounterLoad(ctx context.Context, ingresses int, work, settle, measure time.Duration) (counterLoad, error) {
 	settings := make([]admission.Settings, ingresses)
 	for me := range settings {
-		settings[me] = fleetSettings(ingresses, me, true)
+		settings[me] = simulatedSettings(ingresses, me, true)
 	}
 	f, err := newSimulatedFleet(settings, admissionServers(counterHosts))
 	if err != nil {
--- a/internal/capacity/fleet_sim.go
+++ b/internal/capacity/fleet_sim.go
@@ -35,8 +35,8 @@
 	planCeilingQuota = 7.6
 )
 
-// fleetSettings are what the ingress me of a fleet is told.
-func fleetSettings(ingresses, me int, hasCounter bool) admission.Settings {
+// simulatedSettings are what the ingress me of a fleet is told.
+func simulatedSettings(ingresses, me int, hasCounter bool) admission.Settings {
 	class := func(name string, aim, deadline time.Duration, worth float64, effect admission.Effect) admission.Class {
 		return admission.Class{Name: name, Aim: aim, Deadline: deadline, Worth: worth, Effect: effect,
 			Scope: admission.ScopeCell, RepeatWindow: 3 * time.Second}
--- a/internal/capacity/hosts_sim.go
+++ b/internal/capacity/hosts_sim.go
@@ -35,7 +35,7 @@
 func simulateIngresses(fleet int, members []int, servers []admission.ServerEntry) (*simulatedFleet, error) {
 	var settings []admission.Settings
 	for _, me := range members {
-		settings = append(settings, fleetSettings(fleet, me, false))
+		settings = append(settings, simulatedSettings(fleet, me, false))
 	}
 	f, err := newSimulatedFleet(settings, servers)
 	if err != nil {
--- a/internal/capacity/measure_counter.go
+++ b/internal/capacity/measure_counter.go
@@ -7,7 +7,6 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
@@ -44,7 +43,7 @@
 		{Quantity: "calls that a counter of ours takes, by connections", Unit: "calls a second", Parameter: "connections",
 			Sizes: []int{2, 8, 24, 96}, Target: 96, Standin: counterStandin, Mechanism: callMechanism, Measure: connections},
 		{Quantity: "calls that a counter of ours takes, by names", Unit: "calls a second", Parameter: "names",
-			Sizes: tenantSizes(), Target: TargetTenants, Standin: counterStandin, Mechanism: callMechanism, Measure: names},
+			Sizes: nameSizes(), Target: TargetTenants, Standin: counterStandin, Mechanism: callMechanism, Measure: names},
 		{Quantity: "calls made, counter at ease", Unit: "calls a second", Parameter: "ingresses", Budget: bears,
 			Standin: easeStandin, Mechanism: callMechanism, Measure: reading(ease, func(l counterLoad) float64 { return l.calls })},
 		{Quantity: "calls a request, counter at ease", Unit: "calls", Parameter: "ingresses", Standin: easeStandin,
@@ -55,9 +54,9 @@
 			Mechanism: breakerMechanism, Measure: reading(crowded, counterLoad.givenUp)},
 		{Quantity: "requests decided without a total, counter of the platform", Unit: "% of requests", Parameter: "ingresses",
 			Mechanism: breakerMechanism, Measure: reading(crowded, counterLoad.undecided)},
-		{Quantity: "names that change within the fullest 200 ms", Unit: "names", Parameter: "tenants", Sizes: tenantSizes(),
+		{Quantity: "names that change within the fullest 200 ms", Unit: "names", Parameter: "tenants", Sizes: nameSizes(),
 			Target: TargetTenants, Mechanism: phaseMechanism, Measure: measureWindowTurns},
-		{Quantity: "memory of names", Unit: "MB", Parameter: "names", Sizes: tenantSizes(), Target: TargetTenants,
+		{Quantity: "memory of names", Unit: "MB", Parameter: "names", Sizes: nameSizes(), Target: TargetTenants,
 			Standin: counterStandin, Mechanism: memoryMechanism, Measure: measureCounterMemory},
 	}
 	for i := range measurers {
@@ -79,8 +78,8 @@
 // undecided is the part of the requests that no answer of the counter was there for, in percent.
 func (l counterLoad) undecided() float64 { return 100 * max(0, 1-(l.calls-l.late)/l.requests) }
 
-// tenantSizes are numbers of tenants, or of names of one each.
-func tenantSizes() []int { return []int{2400, 6000, 12000, TargetTenants} }
+// nameSizes are numbers of tenants, or of names of one each.
+func nameSizes() []int { return []int{2400, 6000, 12000, TargetTenants} }
 
 // Shape of the calls over real connections.
 const (
@@ -173,7 +172,7 @@
 // measureWindowTurns has every tenant ask in each slot, and returns the most names that began in one: each window of
 // a tenant is a name of its own at the counter.
 func measureWindowTurns(ctx context.Context, tenants int) (float64, error) {
-	settings := fleetSettings(tenantSpread, 0, true)
+	settings := simulatedSettings(tenantSpread, 0, true)
 	for i := range settings.Plans { // windows as long, and room for a request in each slot
 		plan := &settings.Plans[i]
 		plan.Rate, plan.Burst, plan.CeilingRate = turnRoom*plan.Rate, turnRoom*plan.Burst, 0
@@ -210,7 +209,7 @@
 
 // measureCounterMemory is what a counter of ours holds for so many names, in MB.
 func measureCounterMemory(_ context.Context, names int) (float64, error) {
-	before := heapInUse()
+	before := heapBytes()
 	server, err := standin.NewCounter()
 	if err != nil {
 		return 0, err
@@ -226,17 +225,9 @@
 		server.ServeHTTP(answer, request)
 	}
 	answer = nil
-	used := float64(heapInUse()) - float64(before)
+	used := heapBytes() - before
 	if held := len(server.Numbers()); held != names {
 		return 0, fmt.Errorf("the counter holds %d names, not %d", held, names)
 	}
 	return used / 1e6, nil
 }
-
-// heapInUse is how many bytes of the heap are reachable.
-func heapInUse() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/internal/capacity/measure_hosts.go
+++ b/internal/capacity/measure_hosts.go
@@ -13,7 +13,7 @@
 	coldStandin = hostStandin + ". The server is the one that most ingresses use, warm after 16 s from 0.15 of a " +
 		"capacity of which the fleet uses 0.54"
 	failStandin      = hostStandin + "; which of them fail is drawn, and the list does not say so"
-	subsetMechanism  = "existing: subsetting by rendezvous hashing, admission/rendezvous; missing: its bound on load above 2^20 weights"
+	balanceMechanism = "existing: subsetting by rendezvous hashing, admission/rendezvous; missing: its bound on load above 2^20 weights"
 	coldMechanism    = "existing: slow start, admission/servers.go; missing: subsets of bounded load above 2^20 weights"
 	poolMechanism    = "existing: connection pool, internal/net/upstream, over a subset, admission/servers.go"
 	retryMechanism   = "existing: retry budget and outlier ejection, admission/attempts.go"
@@ -41,14 +41,14 @@
 		return measureConnections(ctx, TargetIngresses, servers)
 	})
 	measurers := []Measurer{
-		{Quantity: "ingresses that use a server, most", Unit: "ingresses", Parameter: serversParameter, Mechanism: subsetMechanism,
+		{Quantity: "ingresses that use a server, most", Unit: "ingresses", Parameter: serversParameter, Mechanism: balanceMechanism,
 			Measure: reading(byServers, func(s subsets) float64 { _, users := s.busiest(); return float64(len(users)) })},
 		{Quantity: "ingresses that use the busiest server, over the mean", Unit: "ratio", Parameter: serversParameter,
-			Mechanism: subsetMechanism, Measure: reading(byServers, func(s subsets) float64 {
+			Mechanism: balanceMechanism, Measure: reading(byServers, func(s subsets) float64 {
 				_, users := s.busiest()
 				return float64(len(users)) / s.mean()
 			})},
-		{Quantity: "ingresses that use a server, mean", Unit: "ingresses", Parameter: serversParameter, Mechanism: subsetMechanism,
+		{Quantity: "ingresses that use a server, mean", Unit: "ingresses", Parameter: serversParameter, Mechanism: balanceMechanism,
 			Measure: reading(byServers, subsets.mean)},
 		{Quantity: "connections of an ingress", Unit: "connections", Parameter: serversParameter, Standin: hostStandin,
 			Mechanism: poolMechanism, Budget: upstreamConnections(),
