--- a/internal/capacity/subsets.go
+++ b/internal/capacity/subsets.go
@@ -38,6 +38,15 @@
 	return ranked, ctx.Err()
 }
 
+// names returns the names of an ingress's servers.
+func (s subsets) names(me int) map[string]bool {
+	names := map[string]bool{}
+	for _, server := range s.of[me] {
+		names[s.servers[server].Name] = true
+	}
+	return names
+}
+
 // users returns by server which ingresses use it.
 func (s subsets) users() [][]int {
 	users := make([][]int, len(s.servers))
@@ -67,3 +76,13 @@
 	}
 	return float64(total) / float64(len(s.servers))
 }
+
+// withoutServers returns the servers that are left when so many are gone, evenly apart.
+func withoutServers(servers []admission.ServerEntry, gone int) (left []admission.ServerEntry) {
+	for i, server := range servers {
+		if (i+1)*gone/len(servers) == i*gone/len(servers) {
+			left = append(left, server)
+		}
+	}
+	return left
+}
