--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -65,6 +65,7 @@
 	Sizes     []int  // at least four, ascending
 	Target    float64
 	Budget    *float64 // in Unit; nil where none is given
+	Cap       float64  // a value that means "not within this"; 0: none does
 	Standin   string   // what stands in for a real part, and what that may change; empty: real code throughout
 	Mechanism string   // what carries the quantity at the target: existing, with its file, or "missing: " and its name
 
@@ -112,6 +113,7 @@
 	AtTarget  float64  `json:"at_target"` // measured where Target is among the sizes, else the model's value
 	Budget    *float64 `json:"budget"`
 	Within    *bool    `json:"within"` // nil where there is no budget
+	Cap       float64  `json:"cap,omitempty"`
 	Standin   string   `json:"standin,omitempty"`
 	Mechanism string   `json:"mechanism"`
 }
@@ -133,7 +135,7 @@
 // run measures at every size and fits a model to the points.
 func (m Measurer) run(ctx context.Context) (Measurement, error) {
 	result := Measurement{Role: m.Role, Quantity: m.Quantity, Unit: m.Unit, Parameter: m.Parameter, Target: m.Target,
-		Budget: m.Budget, Standin: m.Standin, Mechanism: m.Mechanism}
+		Budget: m.Budget, Cap: m.Cap, Standin: m.Standin, Mechanism: m.Mechanism}
 	for _, size := range m.Sizes {
 		if err := ctx.Err(); err != nil {
 			return result, err
@@ -154,6 +156,9 @@
 	return result, nil
 }
 
+// capped tells whether a value means "not within this".
+func (m Measurement) capped(value float64) bool { return m.Cap > 0 && value >= m.Cap }
+
 // valueAt is the value measured at a size, or the model's where it was not measured.
 func (m Measurement) valueAt(size float64) float64 {
 	for _, point := range m.Points {
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -95,8 +95,8 @@
 		if m.Role != role {
 			continue
 		}
-		rows = append(rows, []string{m.Quantity, m.Unit, m.Parameter, points(m.Points), model(m), figure(m.Slope),
-			fmt.Sprintf("%s at %s", figure(m.AtTarget), figure(m.Target)), optional(m.Budget), within(m.Within), m.Mechanism})
+		rows = append(rows, []string{m.Quantity, m.Unit, m.Parameter, points(m), model(m), figure(m.Slope),
+			fmt.Sprintf("%s at %s", m.figure(m.AtTarget), figure(m.Target)), optional(m.Budget), within(m.Within), m.Mechanism})
 		if m.Standin != "" {
 			fmt.Fprintf(&standins, "\nStand-in, %s: %s\n", m.Quantity, m.Standin)
 		}
@@ -105,14 +105,22 @@
 		"mechanism"}, rows) + standins.String()
 }
 
-func points(all []Point) string {
-	cells := make([]string, len(all))
-	for i, point := range all {
-		cells[i] = figure(point.Size) + ": " + figure(point.Value)
+func points(m Measurement) string {
+	cells := make([]string, len(m.Points))
+	for i, point := range m.Points {
+		cells[i] = figure(point.Size) + ": " + m.figure(point.Value)
 	}
 	return strings.Join(cells, "; ")
 }
 
+// figure writes a value of the measurement.
+func (m Measurement) figure(value float64) string {
+	if m.capped(value) {
+		return "not within " + figure(m.Cap)
+	}
+	return figure(value)
+}
+
 func model(m Measurement) string { return fmt.Sprintf("%s (%.3f)", m.Model, m.R2) }
 
 // runsTable has a row for each run of the scale test.
@@ -139,7 +147,7 @@
 // excess is a figure over its budget.
 type excess struct {
 	where, figure, value, budget string
-	times                        float64 // the budget; infinite where nothing is allowed
+	times                        float64 // the budget; infinite where nothing is allowed, or it was never reached
 	mechanism                    string
 }
 
@@ -149,8 +157,12 @@
 	var all []excess
 	for _, m := range measurements {
 		if m.Within != nil && !*m.Within {
-			all = append(all, excess{string(m.Role), m.Quantity, figure(m.AtTarget) + " " + m.Unit, figure(*m.Budget),
-				ratio(m.AtTarget, *m.Budget), m.Mechanism})
+			times := ratio(m.AtTarget, *m.Budget)
+			if m.capped(m.AtTarget) {
+				times = math.Inf(1)
+			}
+			all = append(all, excess{string(m.Role), m.Quantity, m.figure(m.AtTarget) + " " + m.Unit, figure(*m.Budget), times,
+				m.Mechanism})
 		}
 	}
 	for _, run := range runs {
--- a/internal/capacity/report_test.go
+++ b/internal/capacity/report_test.go
@@ -61,6 +61,16 @@
 	assert.Equal(t, page, again)
 }
 
+func TestWhatWasNeverReachedRanksFirst(t *testing.T) {
+	never, twice := made()[0], made()[1]
+	over := false
+	never.Cap, never.AtTarget, never.Within = 15, 15, &over
+	twice.Within = &over
+	ranked := excesses([]Measurement{twice, never}, nil)
+	require.Len(t, ranked, 2)
+	assert.Equal(t, "not within 15 ms", ranked[0].value)
+}
+
 func TestRenderWithoutRunsSaysSo(t *testing.T) {
 	data := filepath.Join(t.TempDir(), "slopes.jsonl")
 	require.NoError(t, WriteMeasurements(data, made()))
