--- a/internal/capacity/measure_replacement.go
+++ b/internal/capacity/measure_replacement.go
@@ -3,19 +3,15 @@
 import (
 	"context"
 	"fmt"
-	"time"
 )
 
 // Texts of the measurements of replacement.
 const (
-	memberStandin = "network: simulated time, 5 ms one way, nothing lost but what a member drops by its own bound on messages " +
-		"a second; one that is slow or loses messages delays every figure"
 	dialStandin = "every server that is new in a subset is counted as dialled, which it is once traffic reaches it; 4 of " +
 		"the ingresses that start are simulated, whose upstream hosts answer after 50 to 150 ms"
-	detectMechanism  = "existing: failure detector with gossip, internal/membership/swim.go; missing: leases, which run out without anybody's word"
-	restartMechanism = "existing: every member's word, internal/membership/share.go; missing: a lease of the share from a quorum"
-	moveMechanism    = "existing: subsetting by rendezvous hashing, admission/rendezvous: what stays is not dialled anew"
-	startMechanism   = "existing: connections dialled by need, internal/net/upstream; missing: a bound on handshakes a second"
+	detectMechanism = "existing: failure detector with gossip, internal/membership/swim.go; missing: leases, which run out without anybody's word"
+	moveMechanism   = "existing: subsetting by rendezvous hashing, admission/rendezvous: what stays is not dialled anew"
+	startMechanism  = "existing: connections dialled by need, internal/net/upstream; missing: a bound on handshakes a second"
 )
 
 // Parts of the fleet that fail together.
@@ -24,7 +20,6 @@
 	zonePart       = 1.0 / TargetZones
 	mostPart       = 0.7
 	secondsADay    = 24 * 3600
-	restartMost    = 2 * time.Minute
 	serversName    = "servers that are gone"
 	ingressesStart = "ingresses that start"
 )
@@ -66,9 +61,9 @@
 		}{
 			{"until all that are left agree", "s", nil, func(l loss) float64 { return l.agreed.Seconds() }},
 			{"bytes of a member meanwhile, both ways", "bytes a second", Budget(BudgetControlBytesPerS),
-				func(l loss) float64 { return 2 * l.bytes }},
+				func(l loss) float64 { return l.bytesPerSecond }},
 			{"processor time of a member meanwhile", "% of a core", Budget(100 * BudgetControlCPUShare),
-				func(l loss) float64 { return 100 * l.cpu.Seconds() / l.agreed.Seconds() }},
+				func(l loss) float64 { return 100 * l.processorShare }},
 		} {
 			all = append(all, Measurer{Quantity: fmt.Sprintf("%s of the ingresses gone, %s", event.name, quantity.name),
 				Unit: quantity.unit, Parameter: "ingresses", Sizes: event.sizes, Target: TargetIngresses, Budget: quantity.budget,
@@ -78,28 +73,15 @@
 	return all
 }
 
-// restartMeasurers measure how long a restarted ingress is without its share of joint budgets.
+// restartMeasurers measure what waits for restarted ingresses; how long each takes is measured for an ingress's control.
 func restartMeasurers() []Measurer {
-	alive := memoize(func(ctx context.Context, members int) (float64, error) { return secondsToRestart(ctx, members, 0) })
-	dead := memoize(func(ctx context.Context, members int) (float64, error) { return secondsToRestart(ctx, members, 1) })
-	return []Measurer{
-		{Quantity: "a restarted ingress may use its share, all others alive", Unit: "s", Parameter: "ingresses", Sizes: lossSizes(),
-			Target: TargetIngresses, Standin: memberStandin, Mechanism: restartMechanism, Measure: alive},
-		{Quantity: "a restarted ingress may use its share, one other dead", Unit: "s", Parameter: "ingresses", Sizes: deadSizes(),
-			Target: TargetIngresses, Standin: memberStandin, Mechanism: restartMechanism, Measure: dead},
-		{Quantity: "ingresses without their share on average, one other dead", Unit: "ingresses",
-			Parameter: "ingresses, restarts in the proportion of 760 a day to 650", Sizes: deadSizes(), Target: TargetIngresses,
-			Standin: memberStandin, Mechanism: restartMechanism, Measure: func(ctx context.Context, members int) (float64, error) {
-				seconds, err := dead(ctx, members)
-				restarts := ReplacementsADay * float64(members) / TargetIngresses
-				return seconds * restarts / secondsADay, err
-			}},
-	}
-}
-
-func secondsToRestart(ctx context.Context, members, dead int) (float64, error) {
-	took, err := measureRestart(ctx, members, dead, restartMost)
-	return took.Seconds(), err
+	return []Measurer{{Quantity: "ingresses without their share on average, one other dead", Unit: "ingresses",
+		Parameter: "ingresses, restarts in the proportion of 760 a day to 650", Sizes: deadSizes(), Target: TargetIngresses,
+		Standin: memberStandin, Mechanism: shareMechanism, Measure: func(ctx context.Context, size int) (float64, error) {
+			cost, err := measureMembership(ctx, size)
+			restarts := ReplacementsADay * float64(size) / TargetIngresses
+			return cost.restartDead * restarts / secondsADay, err
+		}}}
 }
 
 // moveMeasurers measure what the loss of servers and the start of ingresses move: connections, and the list.
