--- a/admission/servers.go
+++ b/admission/servers.go
@@ -61,11 +61,6 @@
 	g.recheck()
 }
 
-// SubsetSize is how many of the hosts that are up each ingress of a fleet uses while all is well.
-func SubsetSize(hosts, ingresses int) int {
-	return max(leastHosts, (leastDoors*hosts+ingresses-1)/ingresses)
-}
-
 // rank orders the servers that are up by this door's preference. It uses the first few that it can: else many
 // doors would all be connected to all, and learn of none. Harms where the few are all bad.
 func (g *Gateway) rank() {
--- a/admission/util.go
+++ b/admission/util.go
@@ -315,3 +315,8 @@
 	reg                   float64 // what this gateway has on the gauge, or about to
 	fit                   float64 // part of what all doors ask that fits the quota, by the totals of late
 }
+
+// SubsetSize is how many of the hosts that are up each ingress of a fleet uses while all is well.
+func SubsetSize(hosts, ingresses int) int {
+	return max(leastHosts, (leastDoors*hosts+ingresses-1)/ingresses)
+}
