--- a/internal/capacity/fit.go
+++ b/internal/capacity/fit.go
@@ -22,7 +22,7 @@
 	// constantSpread is the spread, as a part of the mean, under which points are held to be constant.
 	constantSpread = 0.1
 	// constantR2 is what a model with a slope has to explain of the variance, else the points count as constant.
-	constantR2 = 0.5
+	constantR2 = 0.8
 	// closeR2 is a fit that no other model can better in a way that matters.
 	closeR2 = 0.9999
 	// betterBy is how many times smaller the unexplained variance of a steeper model has to be.
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -97,19 +97,28 @@
 // roleTable has a row for each quantity of a role, and below it what stands in for real parts.
 func roleTable(measurements []Measurement, role Role) string {
 	var rows [][]string
-	var standins strings.Builder
+	standins := map[string][]string{} // quantities by text
+	var texts []string                // in order
 	for _, m := range measurements {
 		if m.Role != role {
 			continue
 		}
 		rows = append(rows, []string{m.Quantity, m.Unit, m.Parameter, points(m), model(m), figure(m.Slope),
 			fmt.Sprintf("%s at %s", m.figure(m.AtTarget), figure(m.Target)), optional(m.Budget), within(m.Within), m.Mechanism})
-		if m.Standin != "" {
-			fmt.Fprintf(&standins, "\nStand-in, %s: %s\n", m.Quantity, m.Standin)
+		if m.Standin == "" {
+			continue
+		}
+		if standins[m.Standin] == nil {
+			texts = append(texts, m.Standin)
 		}
+		standins[m.Standin] = append(standins[m.Standin], m.Quantity)
+	}
+	var notes strings.Builder
+	for _, text := range texts {
+		fmt.Fprintf(&notes, "\nStand-in (%s): %s.\n", strings.Join(standins[text], "; "), text)
 	}
 	return table([]string{"quantity", "unit", "parameter", "points", "model (r2)", "slope", "at target", "budget", "within",
-		"mechanism"}, rows) + standins.String()
+		"mechanism"}, rows) + notes.String()
 }
 
 func points(m Measurement) string {
--- a/internal/capacity/report_test.go
+++ b/internal/capacity/report_test.go
@@ -72,6 +72,12 @@
 	assert.Equal(t, "not within 15 ms", ranked[0].value)
 }
 
+func TestAStandInIsNamedOnceForAllItsQuantities(t *testing.T) {
+	first, second := made()[0], made()[0]
+	first.Standin, second.Standin, second.Quantity = "hosts of ours", "hosts of ours", "bytes"
+	assert.Contains(t, roleTable([]Measurement{first, second}, first.Role), "\nStand-in (calls; bytes): hosts of ours.\n")
+}
+
 func TestRenderWithoutRunsSaysSo(t *testing.T) {
 	data := filepath.Join(t.TempDir(), "slopes.jsonl")
 	require.NoError(t, WriteMeasurements(data, made()))
