Capacity page: sentences that read well with the figures put into them

Need: figures come into the prose with their units, and some sentences did not read well with them. Result: the page is as the data makes it; the package's tests pass.

--- a/internal/capacity/report_values.go
+++ b/internal/capacity/report_values.go
@@ -7,6 +7,9 @@
 	"strconv"
 )
 
+// unitRatio is the unit of quantities that have none.
+const unitRatio = "ratio"
+
 // valuePattern is a figure within the page's prose: <!-- value: ROLE/QUANTITY -->...<!-- /value -->, at the target, or
 // with " at SIZE" behind the quantity at one of the sizes measured.
 var valuePattern = regexp.MustCompile(`(<!-- value: ([a-z-]+)/(.+?)(?: at (\d+))? -->).*?(<!-- /value -->)`)
@@ -40,5 +43,8 @@
 		}
 		value = m.Points[point].Value
 	}
+	if m.Unit == unitRatio {
+		return m.figure(value), nil
+	}
 	return m.figure(value) + " " + m.Unit, nil
 }
