--- a/admission/servers.go
+++ b/admission/servers.go
@@ -65,7 +65,7 @@
 // doors would all be connected to all, and learn of none. Harms where the few are all bad.
 func (g *Gateway) rank() {
 	up := slices.DeleteFunc(slices.Clone(g.ring), func(s *server) bool { return s.State != Up })
-	g.near = max(leastHosts, (leastDoors*len(up)+g.s.Gateways-1)/g.s.Gateways)
+	g.near = SubsetSize(len(up), g.s.Gateways)
 	g.order = rendezvous.Sort(up, func(s *server) string { return s.Name }, g.s.Me, g.s.Gateways, g.near)
 }
 
