--- a/deploy/ferryfront.cue
+++ b/deploy/ferryfront.cue
@@ -18,5 +18,5 @@
 membership: enabled: false
 
 // The replicas of the control group, from which this ingress gets the versions of settings in force and its leases, as
-// "10.0.1.7:7400". None: there is no control group. All ingresses of the fleet name the same in the same order.
+// "10.0.1.5:7200". None: there is no control group. All ingresses of the fleet name the same in the same order.
 control_group: replicas: []
--- a/internal/own/schema.cue
+++ b/internal/own/schema.cue
@@ -57,7 +57,7 @@
 
 #Time: =~"^([0-9]+(\\.[0-9]+)?(h|m|s|ms|us))+$"
 
-// An IP address and a port: "192.0.2.7:7400", "[2001:db8::7]:7400".
+// An IP address and a port: "192.0.2.5:7200", "[2001:db8::5]:7200".
 #Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[0-9]+$"
 
 #Place: {
