Settings rollout: a document comes through between members 9 and 10, too

Cause: each member cuts a document into pieces that leave room for its own name in the datagram, and took only pieces as long as its own. From the eleventh ingress on names have two digits, so none of them took a version from one with one digit, or the other way round, and a version was never alone in force in a fleet of more than ten.

Change: the first piece, which is asked for alone, tells how long the sender's pieces are, and pieces of another member than the one that is asked are not taken.

--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -103,6 +103,7 @@
 type pull struct {
 	Version
 	from  string
+	size  int // bytes of each piece but the last, as its sender cuts them
 	text  []byte
 	have  []bool
 	asked time.Duration
@@ -368,17 +369,16 @@
 // piece takes one. A whole document is acted on if its content is what its version says and can be.
 func (n *Node) piece(m Message, now time.Duration) {
 	p := n.pull
-	if p == nil || m.Want != p.Version || m.Total < 0 || m.Total > n.cfg.TextMost || m.At < 0 {
+	if p == nil || m.Want != p.Version || m.From != p.from || m.Total < 0 || m.Total > n.cfg.TextMost || m.At < 0 {
 		return
 	}
-	if p.have == nil {
-		p.text, p.have = make([]byte, m.Total), make([]bool, max(1, (m.Total+n.cfg.PieceMost-1)/n.cfg.PieceMost))
+	if p.have == nil && !p.begin(m) {
+		return
 	}
-	if m.At >= len(p.have) || m.Total != len(p.text) || p.have[m.At] ||
-		len(m.Bytes) != min(n.cfg.PieceMost, m.Total-m.At*n.cfg.PieceMost) {
+	if m.At >= len(p.have) || m.Total != len(p.text) || p.have[m.At] || len(m.Bytes) != min(p.size, m.Total-m.At*p.size) {
 		return
 	}
-	copy(p.text[m.At*n.cfg.PieceMost:], m.Bytes)
+	copy(p.text[m.At*p.size:], m.Bytes)
 	p.have[m.At], p.tries = true, 0
 	p.out--
 	if slices.Contains(p.have, false) {
@@ -398,6 +398,17 @@
 	_ = n.take(d) // a reason is kept in refused
 }
 
+// begin makes room for a document by its first piece. Its sender decides how long pieces are: they leave room for the
+// sender's name, which may be longer or shorter than this member's.
+func (p *pull) begin(first Message) bool {
+	if first.At != 0 || len(first.Bytes) == 0 && first.Total > 0 || len(first.Bytes) > first.Total {
+		return false
+	}
+	p.size = max(1, len(first.Bytes))
+	p.text, p.have = make([]byte, first.Total), make([]bool, max(1, (first.Total+p.size-1)/p.size))
+	return true
+}
+
 // triesMost: a document whose pieces don't come is given up, until it is told of again.
 const triesMost = 20
 
--- a/internal/versions/versions_test.go
+++ b/internal/versions/versions_test.go
@@ -56,7 +56,7 @@
 func (f *fleet) begin(name string, first Doc) {
 	f.down[name] = false
 	f.nodes[name] = New(Config{Me: name, Seed: f.rng.Uint64(), Period: 300 * ms, AskAgain: 100 * ms, Lease: lease,
-		TextMost: 64 << 10, PieceMost: 180, Check: func(text []byte) error {
+		TextMost: 64 << 10, PieceMost: 180 - len(name), Check: func(text []byte) error { // as the daemon has it
 			if strings.Contains(string(text), "bad") {
 				return errors.New("field classes: missing")
 			}
@@ -127,6 +127,22 @@
 
 func nothing() {}
 
+// Members cut a document into pieces that leave room for their own names. Those are longer from the eleventh member on,
+// and a document comes through all the same, from one of them and to one of them.
+func TestPiecesFromAMemberWithALongerOrShorterName(t *testing.T) {
+	for _, giver := range []string{"2", "11"} {
+		f := newFleet(12, 7, 0, 5*ms)
+		f.run(time.Second, nothing)
+		out, err := f.nodes[giver].Offer(doc(2), f.now)
+		require.NoError(t, err)
+		f.put(giver, out)
+		f.run(3*time.Second, nothing)
+		for _, name := range f.names {
+			require.Equal(t, []uint64{2}, numbers(f.nodes[name]), "member %s, given to %s", name, giver)
+		}
+	}
+}
+
 // A version given to one member is everybody's, and alone, soon: within the stated time.
 func TestAVersionSpreads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
