--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -47,6 +47,10 @@
 	Sent     uint64   `json:"sent"`
 	Received uint64   `json:"received"`
 	Dropped  uint64   `json:"dropped"`
+
+	SentBytes     uint64 `json:"sent_bytes"` // of all messages sent and received
+	ReceivedBytes uint64 `json:"received_bytes"`
+
 	Acting   []uint64 `json:"settings_acting"` // versions of the settings that it acts on together
 	Stale    []string `json:"settings_stale"`  // members not known to act on the newest
 	Rejected []string `json:"settings_rejected"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	Signals   <-chan os.Signal      // SIGTERM and SIGINT end, SIGHUP reloads, SIGUSR2 upgrades
 	Notify    func(state ...string) // tells the service manager, see sd_notify(3)
 	Getenv    func(string) string   // environment
+	Embedded  *Embedded             // where the process holds other daemons, too; nil: it has the process to itself
 }
 
 // Run runs a daemon until its end. A process that was started by another's upgrade takes that one's place.
@@ -80,7 +81,9 @@
 			d.signal(s)
 		}
 	}()
+	o.Embedded.attach(d)
 	err = errors.Join(d.loop.Run(d), d.fault)
+	o.Embedded.detach(d.loop)
 	d.control.finish()
 	if d.telemetry != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), flushMost)
@@ -194,7 +197,9 @@
 		d.o.Limit(&cfg.Limits)
 	}
 	d.log = d.log.With("name", cfg.Name)
-	bound(cfg)
+	if d.o.Embedded == nil {
+		bound(cfg)
+	}
 	d.told = cfg
 	// Every refusal tells when to come back, also where clients are not known to heed it.
 	cfg.Settings.RetryAfter = true
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -38,6 +38,9 @@
 	me, now := cfg.Settings.Me, d.loop.Now()
 	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged,
 		Mark: versions.Mark, Other: d.rulesTold}
+	if d.o.Embedded != nil {
+		c.Reach = d.o.Embedded.Reach
+	}
 	var roster []string
 	for i, addr := range cfg.Peers {
 		if i == me || addr == "" {
@@ -133,6 +136,7 @@
 	v, c := m.Node().View(), m.Counts()
 	to.Enabled, to.Version, to.Settled = true, v.Version, m.Node().Settled(d.loop.Now())
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
+	to.SentBytes, to.ReceivedBytes = c.SentBytes, c.GotBytes
 	if r := m.rules; r != nil && r.settings != nil {
 		for _, doc := range r.settings.Acting() {
 			to.Acting = append(to.Acting, doc.Number)
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -56,6 +57,9 @@
 	start       time.Time
 	base, now   time.Duration
 	stopped     bool
+
+	waking sync.Mutex // held while wake is used by other goroutines, or closed
+	closed bool
 }
 
 // New opens a loop.
@@ -193,10 +197,30 @@
 // Post has fn called within a turn; it is the one method for other goroutines.
 func (l *Loop) Post(fn func()) {
 	l.posted <- fn
+	l.waking.Lock()
+	defer l.waking.Unlock()
+	if l.closed {
+		return
+	}
 	one := [8]byte{1}
 	_, _ = Write(l.wake, one[:])
 }
 
+// Close closes every descriptor that is watched, and the loop's own. It is for a loop that has ended in a process that
+// goes on; what is posted from then on is not called.
+func (l *Loop) Close() {
+	l.waking.Lock()
+	defer l.waking.Unlock()
+	if l.closed {
+		return
+	}
+	l.closed = true
+	for _, s := range l.sources {
+		s.Close() // the eventfd, too
+	}
+	_ = unix.Close(l.epoll)
+}
+
 // Stop ends Run after this turn.
 func (l *Loop) Stop() { l.stopped = true }
 
--- a/internal/net/loop/loop_test.go
+++ b/internal/net/loop/loop_test.go
@@ -72,3 +72,30 @@
 	})))
 	require.WithinDuration(t, time.Now(), time.Unix(0, int64(seen[0])), time.Minute)
 }
+
+// A loop that has ended gives up every descriptor that it watched, and takes what is posted late without harm: another
+// descriptor may have the number of its own by then.
+func TestAClosedLoopHoldsNoDescriptor(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	ours, theirs := pair(t)
+	_, err = l.Watch(ours, In, handler(func(uint32) {}))
+	require.NoError(t, err)
+	l.Stop()
+	require.NoError(t, l.Run(turns(func(time.Duration) time.Duration { return 0 })))
+	l.Close()
+	l.Close()
+	_, err = Write(theirs, []byte("x"))
+	require.ErrorIs(t, err, unix.EPIPE)
+	var again []int
+	for range 3 { // of epoll, eventfd and the pair
+		fd, other := pair(t)
+		again = append(again, fd, other)
+	}
+	l.Post(func() { t.Error("called") })
+	var b [8]byte
+	for _, fd := range again {
+		_, err := Read(fd, b[:])
+		require.ErrorIs(t, err, ErrAgain)
+	}
+}
--- a/internal/net/peers/peers.go
+++ b/internal/net/peers/peers.go
@@ -18,6 +18,8 @@
 	Sent    uint64 // handed to the network
 	Got     uint64 // read and understood
 	Dropped uint64 // not read, for want of sense or over the bound a second; not sent, for want of an address or room
+
+	SentBytes, GotBytes uint64 // of what was sent, and of all that came
 }
 
 // Peers is the transport of one member, and drives its node.
@@ -38,6 +40,7 @@
 	change func(now time.Duration)
 	mark   byte
 	other  func(b []byte) error
+	reach  func(name string) bool
 }
 
 // Config says where a member is and where the others are, by name. Every is between ticks of the node; Change is
@@ -49,12 +52,14 @@
 	Change func(now time.Duration)
 	Mark   byte                 // of the first byte of messages that are not the membership's,
 	Other  func(b []byte) error // which are given to this; nil: there are none
+	// Reach tells whether messages to and from a member get through; nil: all do. It stands in for a network.
+	Reach func(name string) bool
 }
 
 // Open begins to listen, and joins by all the others.
 func Open(l *loop.Loop, lim limits.Limits, log *slog.Logger, node *membership.Node, c Config) (*Peers, error) {
 	p := &Peers{loop: l, lim: lim, log: log, node: node, addrs: map[string]loop.To{}, every: c.Every, change: c.Change,
-		mark: c.Mark, other: c.Other}
+		mark: c.Mark, other: c.Other, reach: c.Reach}
 	var seeds []string
 	for name, addr := range c.Addrs {
 		to, err := loop.ParseTo(addr)
@@ -119,11 +124,14 @@
 		if err != nil { // of an earlier send, such as nobody listening there
 			continue
 		}
+		p.counts.GotBytes += uint64(n)
 		if p.taken >= p.lim.DatagramsSecond {
 			p.counts.Dropped++
 			continue
 		}
-		if err := p.take(buf[:n]); err != nil {
+		if err := p.take(buf[:n]); errors.Is(err, errCut) {
+			continue
+		} else if err != nil {
 			p.drop("peer message not read", err)
 			continue
 		}
@@ -156,9 +164,15 @@
 	if _, ok := p.addrs[name]; !ok {
 		return fmt.Errorf("sender %.16q is not among peers", name)
 	}
+	if p.reach != nil && !p.reach(name) {
+		return errCut
+	}
 	return nil
 }
 
+// errCut tells that a message would not have come through.
+var errCut = errors.New("cut off")
+
 func (p *Peers) handle(ev membership.Event) {
 	for _, s := range p.node.Handle(p.loop.Now(), ev) {
 		p.Send(s.To, membership.Append(nil, s.Msg))
@@ -172,11 +186,15 @@
 		p.drop("peer message not sent", fmt.Errorf("no address of %s", name))
 		return
 	}
+	if p.reach != nil && !p.reach(name) {
+		return
+	}
 	if err := loop.SendTo(p.src.FD(), b, to); err != nil {
 		p.counts.Dropped++ // as if lost on its way
 		return
 	}
 	p.counts.Sent++
+	p.counts.SentBytes += uint64(len(b))
 }
 
 // logEvery: messages that can't be read or sent are told of so often.
--- a/internal/net/peers/peers_test.go
+++ b/internal/net/peers/peers_test.go
@@ -104,3 +104,27 @@
 	require.Zero(t, p.Counts().Got)
 	require.Len(t, p.Node().View().Members, 1)
 }
+
+// A member that can't be reached, as a test of a network has it, is neither sent to nor heard, and that is no fault.
+func TestAMemberThatCanNotBeReached(t *testing.T) {
+	l, err := loop.New()
+	require.NoError(t, err)
+	peer := other(t)
+	p, listen := open(t, l, 100, map[string]string{"1": peer.LocalAddr().String()})
+	require.Equal(t, membership.Hello, read(t, peer).Kind)
+	cut := true
+	p.reach = func(name string) bool { return name != "1" || !cut }
+	ping := membership.Append(nil, membership.Message{Kind: membership.Ping, From: "1", Seq: 1})
+	sent := p.Counts().SentBytes
+	_, err = peer.WriteToUDP(ping, listen)
+	require.NoError(t, err)
+	nettest.Until(t, l, func() bool { return p.Counts().GotBytes == uint64(len(ping)) })
+	require.Zero(t, p.Counts().Got)
+	require.Zero(t, p.Counts().Dropped)
+	require.Equal(t, sent, p.Counts().SentBytes)
+	cut = false
+	_, err = peer.WriteToUDP(ping, listen)
+	require.NoError(t, err)
+	nettest.Until(t, l, func() bool { return p.Counts().Got == 1 })
+	require.Greater(t, p.Counts().SentBytes, sent, "it was answered")
+}
