Membership: a change of the view costs a large fleet less at each member

Cause: with each change of any member's state, each node of the versions compared two lists of names each with each, and the daemon looked up the state of every member for the log on each tick.

Change: a list that is the same is left at that, a changed one is compared by a set, and states are gone through when the view has changed.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -21,7 +21,8 @@
 	me     string
 	rules  *rules // nil where the settings have no version
 	told   admission.FleetChanged
-	states map[string]membership.State // as last logged
+	states map[string]membership.State // as last logged,
+	logged uint64                      // in this version of the view
 }
 
 // openMembers joins the others, where the program's settings say so.
@@ -107,7 +108,12 @@
 		d.core.Tell(ev)
 		d.log.Info("share of joint budgets", "settled", !ev.Unsure, "counted_out", fmt.Sprint(ev.Out))
 	}
-	for _, o := range m.Node().View().Members {
+	view := m.Node().View()
+	if view.Version == m.logged {
+		return
+	}
+	m.logged = view.Version
+	for _, o := range view.Members {
 		if was := m.states[o.Name]; was != o.State {
 			m.states[o.Name] = o.State
 			d.log.Info("member", "member", o.Name, "state", o.State.String(), "was", was.String(), "incarnation", o.Incarnation)
--- a/internal/versions/versions.go
+++ b/internal/versions/versions.go
@@ -184,8 +184,15 @@
 // Fleet tells which other members there are that have not left.
 func (n *Node) Fleet(others []string, now time.Duration) []Send {
 	n.out = n.out[:0]
+	if slices.Equal(others, n.others) {
+		return n.out
+	}
+	before := make(map[string]bool, len(n.others)) // the fleet may be large
+	for _, o := range n.others {
+		before[o] = true
+	}
 	for _, o := range others {
-		if !slices.Contains(n.others, o) {
+		if !before[o] {
 			n.tell(o)
 		}
 	}
