--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -16,6 +16,7 @@
 // more than twice that for some time.
 type Host struct {
 	Name, Zone string
+	Listen     string // address; empty: at a free port of loopback
 	Cell       int
 	Slots      int           // worked on at a time
 	Queue      int           // that may wait
@@ -60,10 +61,18 @@
 }
 
 func (h *Host) start(r *Record, c *cells) error {
+	h.mu.Lock()
 	h.record, h.cells, h.slow, h.boot = r, c, 1, time.Now()
-	h.freed = sync.NewCond(&h.mu)
+	if h.freed == nil { // at a restart, some may still wait
+		h.freed = sync.NewCond(&h.mu)
+	}
+	h.mu.Unlock()
 	var err error
-	h.server, h.ln, err = serve(h, func(_ net.Conn, s http.ConnState) {
+	listen := h.Listen
+	if listen == "" {
+		listen = anyPort
+	}
+	h.server, h.ln, err = serveAt(listen, h, func(_ net.Conn, s http.ConnState) {
 		if s == http.StateNew {
 			r.mu.Lock()
 			r.dials++
@@ -73,9 +82,23 @@
 	return err
 }
 
-// serve listens on loopback, at a port that is free, until the server is closed.
+// Stop ends the host as the loss of its machine does: nobody listens, and its connections are reset or closed.
+func (h *Host) Stop() { _ = h.server.Close() }
+
+// Restart starts a host again that was stopped, at the same address.
+func (h *Host) Restart() error { return h.start(h.record, h.cells) }
+
+// anyPort is loopback at a port that is free.
+const anyPort = "127.0.0.1:0"
+
+// serve listens at a free port until the server is closed.
 func serve(h http.Handler, state func(net.Conn, http.ConnState)) (*http.Server, net.Listener, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveAt(anyPort, h, state)
+}
+
+// serveAt listens at an address until the server is closed.
+func serveAt(address string, h http.Handler, state func(net.Conn, http.ConnState)) (*http.Server, net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -89,12 +112,21 @@
 
 // Boot is its last start, zero for long ago.
 func (h *Host) Boot() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.ColdFor == 0 {
 		return time.Time{}
 	}
 	return h.boot
 }
 
+// RunCold has a host be cold for a while after its next start, when it can do a part of its capacity.
+func (h *Host) RunCold(length time.Duration, part float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ColdFor, h.ColdFrom = length, part
+}
+
 // Slow makes it so many times slower from now on.
 func (h *Host) Slow(x float64) {
 	h.mu.Lock()
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -44,6 +44,9 @@
 	Version          int    // of the settings; 0: they have none
 	Links            *Links // between ingresses that talk; nil: they do not
 	Bare             bool   // without settings of the program's own, and so without a control socket
+
+	// Adjust changes the configuration of an ingress before its start, by its number; nil: nothing is changed.
+	Adjust func(me int, config, settings map[string]any)
 }
 
 // Window is for which the cells of a world know a key.
@@ -155,7 +158,12 @@
 	}
 	in.told, in.config = w.Config(in.Name, in.Addr, me, s), filepath.Join(dir, "config.json")
 	own := filepath.Join(dir, "own.cue")
-	if err := in.Configure(func(map[string]any, map[string]any) {}); err != nil {
+	adjust := func(config, settings map[string]any) {
+		if s.Adjust != nil {
+			s.Adjust(me, config, settings)
+		}
+	}
+	if err := in.Configure(adjust); err != nil {
 		return nil, err
 	}
 	if err := os.WriteFile(own, fmt.Appendf(nil, "control: %q\n%s", in.Control, s.Settings), 0o600); err != nil {
