ferrylab scale run: a fleet of 650 on one machine, through eight events

What each logs is read as typed events with their times; figures are made of these. Processes and memory are bounded and checked all the time. A zone's or region's cut is made at the hollow ends of messages, and by a relay between real ingresses.

--- a/cmd/ferrylab/main.go
+++ b/cmd/ferrylab/main.go
@@ -39,7 +39,7 @@
 	root.SetOut(out)
 	root.SetErr(errs)
 	root.PersistentFlags().StringVar(&p.binary, "ferryfront", "", "`path` of the ingress's binary (default: beside this one)")
-	root.AddCommand(p.serve(), p.upgrade(), p.misbehave(), p.freeze(), p.cost(), p.chaos())
+	root.AddCommand(p.serve(), p.upgrade(), p.misbehave(), p.freeze(), p.cost(), p.chaos(), p.scale())
 	root.SetArgs(args)
 	ran := false
 	root.PersistentPreRun = func(*cobra.Command, []string) { ran = true }
