--- a/internal/membership/wire.go
+++ b/internal/membership/wire.go
@@ -58,7 +58,7 @@
 	return b
 }
 
-// ErrTooLong: a datagram longer than the platform carries.
+// ErrTooLong tells that a datagram is longer than the platform carries.
 var ErrTooLong = errors.New("membership: datagram longer than 256 bytes")
 
 // Parse reads a message. Errors name the field that is wrong; unknown fields are skipped.
@@ -71,7 +71,7 @@
 		switch {
 		case num == fKind && typ == protowire.VarintType:
 			v, n := protowire.ConsumeVarint(b)
-			if n < 0 || v > uint64(Hello) {
+			if n < 0 || v > uint64(JoinRequest) {
 				return 0, fmt.Errorf("membership: field kind: %d not known", v)
 			}
 			msg.Kind = Kind(v)
