Upstream pool: without a connection no host is looked through for idle ones

Cause: twice a second the pool went through all listed hosts, 7,200 at the size that is to come, also where nothing was open.

Change: it does not when it holds no connection.

--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -80,6 +80,9 @@
 	p.loop.After(sweepEvery, p.sweep)
 	now := p.loop.Now()
 	for _, h := range p.hosts {
+		if p.conns == 0 { // of thousands of hosts none need be looked through
+			break
+		}
 		old := 0
 		for old < len(h.idle) && now-h.idle[old].since+sweepEvery >= p.lim.UpstreamIdle {
 			old++
