--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -80,8 +81,13 @@
 	memberMemoryMB = 13 // of the limit, for each member
 )
 
+// hollowThreads is how many threads of a hollow process run at a time. With one for each of its daemons, the processes of
+// the real ingresses and of the test itself would have next to no part of the processors where all want to run.
+const hollowThreads = 2
+
 // ServeHollow runs hollow ingresses until the end of its orders.
 func ServeHollow(in io.Reader, out io.Writer) error {
+	runtime.GOMAXPROCS(hollowThreads)
 	debug.SetGCPercent(startGC)
 	p := &hollowProcess{members: map[int]*hollowMember{}, out: json.NewEncoder(out)}
 	lines := bufio.NewReader(in)
