ferrylab scale run: agreement by a control group

The replica of a region that is cut off is stopped by a signal. A change is given to one ingress, which proposes it, again each 0.5 s while the group turns it down.

--- a/internal/lab/scale/config.go
+++ b/internal/lab/scale/config.go
@@ -14,11 +14,12 @@
 // fleetConfig is what the configurations of all ingresses are made from.
 type fleetConfig struct {
 	Topology   topology        `json:"topology"`
-	Peers      []string        `json:"peers"`       // where each ingress takes messages of others, by number
-	Discovery  []string        `json:"discovery"`   // where each watches, by number
-	Base       json.RawMessage `json:"base"`        // a configuration with all that does not differ
-	PerProcess int             `json:"per_process"` // hollow members of a process
-	Folder     string          `json:"folder"`      // for the files of hollow ingresses
+	Peers      []string        `json:"peers"`              // where each ingress takes messages of others, by number
+	Discovery  []string        `json:"discovery"`          // where each watches, by number
+	Replicas   [][]string      `json:"replicas,omitempty"` // where each reaches the control group, by number; none: they talk by gossip
+	Base       json.RawMessage `json:"base"`               // a configuration with all that does not differ
+	PerProcess int             `json:"per_process"`        // hollow members of a process
+	Folder     string          `json:"folder"`             // for the files of hollow ingresses
 }
 
 // adjust makes the base configuration that of one ingress. Addresses of other real ingresses are the caller's to say,
--- a/internal/lab/scale/event.go
+++ b/internal/lab/scale/event.go
@@ -40,15 +40,16 @@
 // Messages of the daemon's log that events are read from. A record is checked against these alone, so that other lines
 // cost next to nothing.
 const (
-	messageServing  = "serving"
-	messageActing   = "settings version"
-	messageReady    = "settings version heard"
-	messageShare    = "share of joint budgets"
-	messageLease    = "control lease"
-	keyActing       = "acting"
-	keySettled      = "settled"
-	keyState        = "state"
-	versionsBetween = ","
+	messageServing     = "serving"
+	messageActing      = "settings version"
+	messageReady       = "settings version heard"
+	messageShare       = "share of joint budgets"
+	messageLease       = "control lease"
+	messageNotReloaded = "configuration not reloaded"
+	keyActing          = "acting"
+	keySettled         = "settled"
+	keyState           = "state"
+	versionsBetween    = ","
 )
 
 // fields are the attributes of a log record, as text.
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -20,6 +20,8 @@
 	world     *standin.World // of the real ingresses: hosts, counter, record
 	links     *standin.Links // messages between real ingresses
 	discovery *standin.WatchServer
+	group     *standin.ControlGroup // nil: the ingresses agree by gossip
+	relays    *standin.Relays       // between ingresses and replicas
 	config    fleetConfig
 	hollow    []*hollowClient
 	holder    map[int]*hollowClient // by member
@@ -29,6 +31,7 @@
 
 	processes sync.Mutex
 	realPIDs  map[int]int // by member
+	groupPIDs []int
 }
 
 // memberNumber is that of a member's name.
@@ -127,6 +130,7 @@
 		inside[m] = true
 	}
 	f.links.Set(func(from, to int) bool { return inside[from] != inside[to] }, 0, 0)
+	f.cutGroup(inside)
 	var faults error
 	for _, c := range f.hollow {
 		_, err := c.order(order{Action: actionCut, Members: island})
@@ -165,15 +169,20 @@
 // give gives the next version of the settings to one member, as an operator does, and returns its number.
 func (f *fleet) give(member int) (version uint64, err error) {
 	f.version++
+	return f.version, f.giveAgain(member)
+}
+
+// giveAgain has a member read the newest version once more. One that is taken already changes nothing.
+func (f *fleet) giveAgain(member int) error {
 	if f.isHollow(member) {
-		_, err = f.each([]int{member}, order{Action: actionChange, Version: int(f.version)})
-		return f.version, err
+		_, err := f.each([]int{member}, order{Action: actionChange, Version: int(f.version)})
+		return err
 	}
 	if err := f.world.Ingresses[member].Configure(change(int(f.version))); err != nil {
-		return f.version, err
+		return err
 	}
 	f.signal(member, syscall.SIGHUP)
-	return f.version, nil
+	return nil
 }
 
 // traffic returns how many bytes of messages between ingresses each member has sent and received.
@@ -228,6 +237,8 @@
 	for _, follower := range f.followers {
 		follower.close()
 	}
+	f.relays.Close()
+	f.group.Close()
 	f.links.Close()
 	_ = f.topology.close()
 }
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"ferryfront.example/ferryfront/internal/controlgroup"
 )
 
 // Times around an event.
@@ -150,8 +152,17 @@
 	}
 }
 
-// contradictionBound is what the design states for an event.
-func (r Run) contradictionBound(string) (time.Duration, error) { return gossipBound(r.Instances) }
+// contradictionBound is what the design states for an event. With a control group, ingresses that hold a lease never
+// contradict each other. One that is cut off may, from the end of its lease until it reaches a replica again.
+func (r Run) contradictionBound(event string) (time.Duration, error) {
+	switch {
+	case r.Agreement == Gossip:
+		return gossipBound(r.Instances)
+	case event == eventRegions:
+		return regionCut + controlgroup.DefaultTiming.Settings, nil
+	}
+	return 0, nil
+}
 
 // use fills in what the meter has seen.
 func (l *Line) use(m *meter) {
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -70,6 +70,20 @@
 	require.Nil(t, line.InForceMaxMS)
 }
 
+// By a control group the same figures come: a change has to pass through it, and the leader's death holds it up only
+// until there is another one.
+func TestAKilledLeaderInASmallFleet(t *testing.T) {
+	run := shortRun(t, "leader")
+	run.Agreement = Control
+	line, err := run.Play()
+	require.NoError(t, err)
+	require.Empty(t, line.Error)
+	require.False(t, line.Failed(), "%+v", line)
+	require.Zero(t, *line.NotInForce)
+	require.Equal(t, 1+3+2+replicas, line.Processes)
+	require.Zero(t, *line.ContradictionBoundMS)
+}
+
 // What can't be run is told before anything is started.
 func TestRunsThatCanNotBe(t *testing.T) {
 	for says, change := range map[string]func(*Run){
--- a/internal/lab/scale/usage.go
+++ b/internal/lab/scale/usage.go
@@ -111,7 +111,7 @@
 	measuring bool
 	cpu       map[int]*series // by process of hollow members, divided by their number
 	memory    map[int]*series
-	traffic   map[int]*series // by member: messages and discovery
+	traffic   map[int]*series // by member: messages, discovery and the control group
 	messages  map[int]*restarting
 	totalMB   float64 // most at any time
 	processes int     // most at any time
@@ -221,7 +221,11 @@
 			m.messages[member] = &restarting{}
 		}
 		lists := m.fleet.discovery.Sent(m.fleet.config.Discovery[member])
-		seriesOf(m.traffic, member).add(now, float64(m.messages[member].total(sent))+float64(lists))
+		total := float64(m.messages[member].total(sent)) + float64(lists)
+		if m.fleet.relays != nil {
+			total += float64(m.fleet.relays.Bytes(member))
+		}
+		seriesOf(m.traffic, member).add(now, total)
 	}
 }
 
@@ -258,5 +262,5 @@
 func (f *fleet) otherProcesses() []int {
 	f.processes.Lock()
 	defer f.processes.Unlock()
-	return slices.Collect(maps.Values(f.realPIDs))
+	return slices.AppendSeq(slices.Clone(f.groupPIDs), maps.Values(f.realPIDs))
 }
--- a/internal/standin/controlgroup.go
+++ b/internal/standin/controlgroup.go
@@ -98,6 +98,16 @@
 	r.process = nil
 }
 
+// PIDs are those of the replicas that run.
+func (g *ControlGroup) PIDs() (pids []int) {
+	for _, r := range g.replicas {
+		if r.process != nil {
+			pids = append(pids, r.process.Process.Pid)
+		}
+	}
+	return pids
+}
+
 // Signal sends a replica a signal.
 func (g *ControlGroup) Signal(i int, s syscall.Signal) {
 	if p := g.replicas[i].process; p != nil {
--- a/internal/standin/relays.go
+++ b/internal/standin/relays.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sys/unix"
 )
@@ -27,6 +28,7 @@
 type Relays struct {
 	listeners [][]net.Listener // by ingress and replica
 	replicas  []string
+	bytes     []atomic.Int64 // passed on in both directions, by ingress
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -38,7 +40,7 @@
 
 // NewRelays opens those between so many ingresses and the replicas at some addresses.
 func NewRelays(ingresses int, replicas []string) (*Relays, error) {
-	r := &Relays{replicas: replicas, conns: map[net.Conn]struct{}{}}
+	r := &Relays{replicas: replicas, bytes: make([]atomic.Int64, ingresses), conns: map[net.Conn]struct{}{}}
 	r.changed = sync.NewCond(&r.mu)
 	for i := range ingresses {
 		r.listeners = append(r.listeners, nil)
@@ -64,6 +66,9 @@
 	return addrs
 }
 
+// Bytes tells how many were passed on to and from an ingress so far.
+func (r *Relays) Bytes(ingress int) int64 { return r.bytes[ingress].Load() }
+
 // Set says what does not arrive from now on; nil: everything does.
 func (r *Relays) Set(cut Cut) {
 	r.mu.Lock()
@@ -160,20 +165,21 @@
 		both.Add(1)
 		go func() {
 			defer both.Done()
-			r.copy(way.from, way.to, func() bool { return r.pass(ingress, replica, way.way) })
+			r.copy(way.from, way.to, &r.bytes[ingress], func() bool { return r.pass(ingress, replica, way.way) })
 		}()
 	}
 	both.Wait()
 }
 
 // copy passes on bytes, and the end as what it was.
-func (r *Relays) copy(from, to net.Conn, pass func() bool) {
+func (r *Relays) copy(from, to net.Conn, bytes *atomic.Int64, pass func() bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if !pass() {
 			return
 		}
+		bytes.Add(int64(n))
 		if _, bad := to.Write(buf[:n]); bad != nil && err == nil {
 			return // its end comes the other way
 		}
