--- a/cmd/ferrylab/scale.go
+++ b/cmd/ferrylab/scale.go
@@ -23,7 +23,7 @@
 // scale is the parent of all that measures the system at the size of its target.
 func (p *program) scale() *cobra.Command {
 	c := &cobra.Command{Use: "scale", Args: cobra.NoArgs, Short: "Measure how the system grows, and report it"}
-	c.AddCommand(p.scaleSlopes(), p.scaleReport())
+	c.AddCommand(p.scaleSlopes(), p.scaleReport(), p.scaleRun(), p.scaleHollow())
 	return c
 }
 
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -21,7 +21,8 @@
 	me     string
 	gossip *gossip // nil where no versions are agreed on by it
 	told   admission.FleetChanged
-	states map[string]membership.State // as last logged
+	states map[string]membership.State // as last logged,
+	logged uint64                      // in this version of the view
 }
 
 // openMembers joins the others, where the program's settings say so.
@@ -38,6 +39,9 @@
 	me, now := cfg.Settings.Me, d.loop.Now()
 	c := peers.Config{Listen: cfg.PeerListen, Addrs: map[string]string{}, Every: lim.MemberAck / 4, Change: d.membersChanged,
 		Mark: versions.Mark, Other: d.gossipReceived}
+	if d.o.Embedded != nil {
+		c.Reach = d.o.Embedded.Reach
+	}
 	var roster []string
 	for i, addr := range cfg.Peers {
 		if i == me || addr == "" {
@@ -101,7 +105,12 @@
 	if len(d.o.ControlReplicas) == 0 { // else the group grants the share
 		d.shareChanged(now)
 	}
-	for _, o := range m.Node().View().Members {
+	view := m.Node().View()
+	if view.Version == m.logged {
+		return
+	}
+	m.logged = view.Version
+	for _, o := range view.Members {
 		if was := m.states[o.Name]; was != o.State {
 			m.states[o.Name] = o.State
 			d.log.Info("member", "member", o.Name, "state", o.State.String(), "was", was.String(), "incarnation", o.Incarnation)
@@ -160,6 +169,7 @@
 	v, c := m.Node().View(), m.Counts()
 	to.Enabled, to.Version = true, v.Version
 	to.Absent, to.Sent, to.Received, to.Dropped = append(to.Absent, m.told.Out...), c.Sent, c.Got, c.Dropped
+	to.SentBytes, to.ReceivedBytes = c.SentBytes, c.GotBytes
 	for _, o := range v.Members {
 		to.Members = append(to.Members, Member{Name: o.Name, State: o.State.String(), Incarnation: o.Incarnation})
 	}
--- a/internal/lab/control_test.go
+++ b/internal/lab/control_test.go
@@ -53,7 +53,7 @@
 // Membership beside a control group only tells who is there: a member that is dead to the others, and then left for good,
 // changes nothing of their shares, and no versions go between members.
 func TestMembershipBesideAControlGroup(t *testing.T) {
-	s := controlled(t, func(s *swarm, shape *standin.Shape) {
+	s := controlled(t, func(s *fleet, shape *standin.Shape) {
 		var err error
 		s.links, err = standin.NewLinks(s.n)
 		require.NoError(t, err)
@@ -168,7 +168,7 @@
 	s.kept(t)
 }
 
-func (s *swarm) oneWay(t *testing.T, version uint64, cut standin.Direction) {
+func (s *fleet) oneWay(t *testing.T, version uint64, cut standin.Direction) {
 	t.Helper()
 	from := time.Now()
 	s.relays.Set(func(ingress, _ int, way standin.Direction) bool { return ingress == 2 && way == cut })
@@ -250,7 +250,7 @@
 	require.Less(t, s.again(t, 1), settledMost)
 
 	from := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), upgradeMost)
+	ctx, cancel := context.WithTimeout(context.Background(), upgradeTimeout)
 	defer cancel()
 	_, err := daemon.Upgrade(ctx, s.world.Ingresses[2].Control, func(daemon.Progress) {})
 	require.NoError(t, err)
--- a/internal/lab/controlled_test.go
+++ b/internal/lab/controlled_test.go
@@ -30,7 +30,7 @@
 )
 
 // inForceBound is the bound of a change that was begun at a time.
-func (s *swarm) inForceBound(began time.Time) time.Duration {
+func (s *fleet) inForceBound(began time.Time) time.Duration {
 	elections := 0
 	for _, line := range strings.Split(s.group.Logs(), "\n") {
 		at, err := time.Parse(time.RFC3339Nano, value(line, "time"))
@@ -42,9 +42,9 @@
 }
 
 // controlled is a fleet of three ingresses that agree on version 1 by three replicas, with a little load on it.
-func controlled(t *testing.T, change ...func(*swarm, *standin.Shape)) *swarm {
+func controlled(t *testing.T, change ...func(*fleet, *standin.Shape)) *fleet {
 	t.Parallel()
-	s := &swarm{Setup: setup(t), n: 3}
+	s := &fleet{Setup: setup(t), n: 3}
 	t.Cleanup(func() {
 		s.close()
 		if t.Failed() {
@@ -76,7 +76,7 @@
 }
 
 // control is what an ingress tells of the control group.
-func (s *swarm) control(t *testing.T, member int) daemon.ControlStatus {
+func (s *fleet) control(t *testing.T, member int) daemon.ControlStatus {
 	t.Helper()
 	var status daemon.Status
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -88,7 +88,7 @@
 }
 
 // allSettled waits until each ingress holds both leases.
-func (s *swarm) allSettled(t *testing.T) {
+func (s *fleet) allSettled(t *testing.T) {
 	t.Helper()
 	for i := range s.n {
 		require.NoError(t, until("both leases are held", func() bool {
@@ -99,14 +99,14 @@
 }
 
 // rollout gives a member the next version and returns how long it took until some act on it alone.
-func (s *swarm) rollout(t *testing.T, member int, version uint64, others ...int) time.Duration {
+func (s *fleet) rollout(t *testing.T, member int, version uint64, others ...int) time.Duration {
 	t.Helper()
 	began := time.Now()
 	s.roll(member)
 	return s.inForce(t, began, version, others...)
 }
 
-func (s *swarm) inForce(t *testing.T, began time.Time, version uint64, members ...int) time.Duration {
+func (s *fleet) inForce(t *testing.T, began time.Time, version uint64, members ...int) time.Duration {
 	t.Helper()
 	s.act(t, []uint64{version}, members...)
 	took := time.Since(began)
@@ -117,7 +117,7 @@
 
 // kept tells that no rule was broken, that requests were answered throughout by ingresses that ran, and that no two
 // ingresses with a lease ever acted on versions of which neither knew the other's.
-func (s *swarm) kept(t *testing.T) {
+func (s *fleet) kept(t *testing.T) {
 	t.Helper()
 	require.NoError(t, until("enough requests are answered", func() bool { return len(s.world.Record.Answers()) > 300 }))
 	var r ChaosReport
@@ -128,7 +128,7 @@
 }
 
 // leasedContradiction is the longest time for which two ingresses that held a lease had no version in common.
-func (s *swarm) leasedContradiction(t *testing.T) (longest time.Duration) {
+func (s *fleet) leasedContradiction(t *testing.T) (longest time.Duration) {
 	t.Helper()
 	var all [][]acts
 	for i := range s.n {
@@ -143,7 +143,7 @@
 }
 
 // leasedActs reads from a log what an ingress acted on while it held its settings lease.
-func (s *swarm) leasedActs(t *testing.T, member int) (list []acts) {
+func (s *fleet) leasedActs(t *testing.T, member int) (list []acts) {
 	t.Helper()
 	var acting []string
 	held := false
@@ -177,7 +177,7 @@
 	return list
 }
 
-func (s *swarm) lines(t *testing.T, member int) (lines []string) {
+func (s *fleet) lines(t *testing.T, member int) (lines []string) {
 	t.Helper()
 	f, err := os.Open(s.world.Ingresses[member].Log)
 	require.NoError(t, err)
@@ -189,7 +189,7 @@
 }
 
 // after are the lines of a log from a time on that have all of some parts, with their times.
-func (s *swarm) after(t *testing.T, member int, from time.Time, parts ...string) (times []time.Time) {
+func (s *fleet) after(t *testing.T, member int, from time.Time, parts ...string) (times []time.Time) {
 	t.Helper()
 next:
 	for _, line := range s.lines(t, member) {
@@ -207,14 +207,14 @@
 }
 
 // logs waits for a line of a log from a time on, and returns its time.
-func (s *swarm) logs(t *testing.T, member int, from time.Time, parts ...string) time.Time {
+func (s *fleet) logs(t *testing.T, member int, from time.Time, parts ...string) time.Time {
 	t.Helper()
 	require.NoError(t, until(fmt.Sprint(parts), func() bool { return len(s.after(t, member, from, parts...)) > 0 }))
 	return s.after(t, member, from, parts...)[0]
 }
 
 // answers tells that an ingress serves.
-func (s *swarm) answers(t *testing.T, member int, id string) {
+func (s *fleet) answers(t *testing.T, member int, id string) {
 	t.Helper()
 	require.NoError(t, until("a request is served", func() bool {
 		id += "x"
@@ -224,14 +224,14 @@
 }
 
 // kill ends an ingress at once.
-func (s *swarm) kill(member int) {
+func (s *fleet) kill(member int) {
 	s.down(member)
 	s.world.Ingresses[member].Kill()
 	<-s.world.Ingresses[member].Ended()
 }
 
 // again starts it anew, and returns how long after it began to serve it had its share.
-func (s *swarm) again(t *testing.T, member int) time.Duration {
+func (s *fleet) again(t *testing.T, member int) time.Duration {
 	t.Helper()
 	from := time.Now()
 	require.NoError(t, s.world.Again(member))
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -30,12 +30,6 @@
 	spells []spell
 }
 
-// The names that the rollouts still use.
-type (
-	swarm    = fleet
-	disorder = fleetFault
-)
-
 // spell is a time for which a member was down.
 type spell struct {
 	member   int
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -26,15 +26,15 @@
 // underWay is how long after the new version is given a member is killed: it is on its way then.
 const underWay = 20 * time.Millisecond
 
-func rollouts() []disorder {
-	return []disorder{
-		{name: "rollout+partition", length: 6 * time.Second, version: 1, begin: func(s *swarm) func() {
+func rollouts() []fleetFault {
+	return []fleetFault{
+		{name: "rollout+partition", length: 6 * time.Second, version: 1, begin: func(s *fleet) func() {
 			s.cut = func(a, b int) bool { return a < s.n/2 != (b < s.n/2) }
 			s.links.Set(s.cut, 0, 0)
 			s.roll(0)
 			return s.heal
 		}},
-		{name: "rollout+kill", length: 6 * time.Second, version: 1, begin: func(s *swarm) func() {
+		{name: "rollout+kill", length: 6 * time.Second, version: 1, begin: func(s *fleet) func() {
 			s.roll(0)
 			time.Sleep(underWay)
 			s.down(1)
@@ -46,7 +46,7 @@
 				s.up(1)
 			}
 		}},
-		{name: "rollout+oneway", length: 6 * time.Second, version: 1, begin: func(s *swarm) func() {
+		{name: "rollout+oneway", length: 6 * time.Second, version: 1, begin: func(s *fleet) func() {
 			s.links.Set(func(from, to int) bool { return from == 0 && to == 1 }, 0, 0)
 			s.roll(0)
 			return s.heal
@@ -55,7 +55,7 @@
 }
 
 // roll gives a member the next version: dealers with a ceiling may have half, the others a fifth more.
-func (s *swarm) roll(member int) {
+func (s *fleet) roll(member int) {
 	err := s.world.Ingresses[member].Configure(func(config, settings map[string]any) {
 		config["settings_version"] = config["settings_version"].(int) + 1
 		settings["tiersOfService"] = rolled()
@@ -87,7 +87,7 @@
 }
 
 // stale counts the members that are up and do not act on the newest version.
-func (s *swarm) stale(r *ChaosReport) {
+func (s *fleet) stale(r *ChaosReport) {
 	n, newest, now := 0, uint64(0), time.Now()
 	var acting [][]uint64
 	for i := range s.n {
@@ -113,7 +113,7 @@
 }
 
 // agreed waits until all members act on one version alone, and then has the new ceiling kept for a while.
-func (s *swarm) agreed(r *ChaosReport, version int, healed time.Time) {
+func (s *fleet) agreed(r *ChaosReport, version int, healed time.Time) {
 	var last string
 	for end := time.Now().Add(agreeMost); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		last = ""
@@ -141,7 +141,7 @@
 }
 
 // contradictions reads from the logs who acted on what when.
-func (s *swarm) contradictions(r *ChaosReport) {
+func (s *fleet) contradictions(r *ChaosReport) {
 	rejected := 0
 	var lives [][]acts
 	for i, in := range s.world.Ingresses {
--- a/internal/lab/rollout_test.go
+++ b/internal/lab/rollout_test.go
@@ -16,9 +16,9 @@
 )
 
 // versioned is a fleet of three processes that agree, on version 1 of the settings.
-func versioned(t *testing.T) *swarm { return threeOf(t, 1) }
+func versioned(t *testing.T) *fleet { return threeOf(t, 1) }
 
-func (s *swarm) acting(t *testing.T, member int) []uint64 {
+func (s *fleet) acting(t *testing.T, member int) []uint64 {
 	t.Helper()
 	m, err := s.members(member)
 	require.NoError(t, err)
@@ -26,7 +26,7 @@
 }
 
 // act waits until members act on these versions.
-func (s *swarm) act(t *testing.T, versions []uint64, members ...int) {
+func (s *fleet) act(t *testing.T, versions []uint64, members ...int) {
 	t.Helper()
 	for _, i := range members {
 		require.NoError(t, until("the versions are acted on", func() bool {
@@ -37,7 +37,7 @@
 }
 
 // together tells that no two members ever acted on versions of which neither knew the other's.
-func (s *swarm) together(t *testing.T) {
+func (s *fleet) together(t *testing.T) {
 	t.Helper()
 	var r ChaosReport
 	s.contradictions(&r)
@@ -46,7 +46,7 @@
 }
 
 // logged tells whether a member's log has a line with all of these.
-func (s *swarm) logged(t *testing.T, member int, parts ...string) bool {
+func (s *fleet) logged(t *testing.T, member int, parts ...string) bool {
 	t.Helper()
 	raw, err := os.ReadFile(s.world.Ingresses[member].Log)
 	require.NoError(t, err)
@@ -165,7 +165,7 @@
 }
 
 // drain gives a member the next version of the list of hosts that the operators drain.
-func (s *swarm) drain(t *testing.T, member, version int, hosts ...string) {
+func (s *fleet) drain(t *testing.T, member, version int, hosts ...string) {
 	t.Helper()
 	in := s.world.Ingresses[member]
 	require.NoError(t, in.Configure(func(config, _ map[string]any) {
@@ -175,7 +175,7 @@
 }
 
 // drained waits until a member drains these hosts by the operators' list.
-func (s *swarm) drained(t *testing.T, member int, hosts ...string) {
+func (s *fleet) drained(t *testing.T, member int, hosts ...string) {
 	t.Helper()
 	require.NoError(t, until("the list is acted on", func() bool {
 		m, err := s.members(member)
@@ -186,7 +186,7 @@
 }
 
 // used tells which hosts get requests that come through a member.
-func (s *swarm) used(t *testing.T, member, from, n int) map[string]bool {
+func (s *fleet) used(t *testing.T, member, from, n int) map[string]bool {
 	t.Helper()
 	before := len(s.world.Record.Runs())
 	for i := range n {
