Capacity: gossip is measured as the ingress cuts pieces, the list as the watch keeps it

Cause: the measurers still had two sizes of pieces, and the parser's and the buffer's memory, both mended since (receivers follow the sender's size; memory for a long list is not kept). Change: one size rule, the ingress's own; the list's heap without parser and message.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -30,7 +30,7 @@
 		RoleControlMachines, RoleReplacement}
 }
 
-// The target system, from the operators' letter.
+// The target system, as the operators state it.
 const (
 	TargetIngresses   = 650
 	TargetServers     = 7200
@@ -45,7 +45,7 @@
 	ReplacementsADay  = 760 // restarted or replaced
 )
 
-// The budgets of the operators' letter. The three of control are for each ingress, averaged over 10 s.
+// The operators' budgets. The three of control are for each ingress, averaged over 10 s.
 const (
 	BudgetAddedP99MS         = 2.6   // added to a request, 99th percentile
 	BudgetInForceS           = 3.0   // a configuration change, everywhere
--- a/internal/capacity/gossip_sim.go
+++ b/internal/capacity/gossip_sim.go
@@ -31,20 +31,11 @@
 	heap                     float64       // bytes of all members together
 }
 
-// pieceSize tells how many bytes of a document the member of a name sends and takes in one message.
-type pieceSize func(name string, members int) int
-
-// sizeByOwnName is the ingress's own piece size (internal/daemon/rules.go). Members whose names differ in length do not
-// take each other's pieces, as these have to be of the receiver's size.
-func sizeByOwnName(name string, _ int) int {
+// pieceSize is how many bytes of a document the member of a name sends in one message, as internal/daemon/gossip.go has it.
+func pieceSize(name string) int {
 	return membership.Datagram - versions.Overhead - len(documentName) - len(name)
 }
 
-// sizeByLongestName is the same for all members.
-func sizeByLongestName(_ string, members int) int {
-	return sizeByOwnName(strconv.Itoa(members-1), members)
-}
-
 // gossipFleet is a fleet whose members agree on versions, each by the real [versions.Node], on a simulated network.
 type gossipFleet struct {
 	*datagramNetwork
@@ -53,7 +44,7 @@
 }
 
 // newGossipFleet returns members that all act on one version. Of them the last ones are dead.
-func newGossipFleet(members, dead int, size pieceSize) (*gossipFleet, error) {
+func newGossipFleet(members, dead int) (*gossipFleet, error) {
 	bounds, err := limits.For(limits.Site{Sockets: ingressSockets, Gateways: members})
 	if err != nil {
 		return nil, err
@@ -66,7 +57,7 @@
 		f.down[member] = member >= members-dead
 		f.nodes[member] = versions.New(versions.Config{Me: name, Doc: documentName, Seed: uint64(member),
 			Period: bounds.MemberPeriod, AskAgain: bounds.MemberAck, Lease: time.Duration(members+1) * bounds.MemberPeriod,
-			Check: func([]byte) error { return nil }, TextMost: documentMost, PieceMost: size(name, members)}, first, f.now)
+			Check: func([]byte) error { return nil }, TextMost: documentMost, PieceMost: pieceSize(name)}, first, f.now)
 	}
 	for member, node := range f.nodes {
 		if f.down[member] {
@@ -125,14 +116,14 @@
 
 // measureRollout gives one member of a fleet a further version, and lets time pass until it is in force alone, or for
 // gossipMost. All members are alive.
-func measureRollout(ctx context.Context, members int, size pieceSize) (rollout, error) {
-	return measureRolloutBeside(ctx, members, 0, size)
+func measureRollout(ctx context.Context, members int) (rollout, error) {
+	return measureRolloutBeside(ctx, members, 0)
 }
 
 // measureRolloutBeside is the same in a fleet of which so many members are dead.
-func measureRolloutBeside(ctx context.Context, members, dead int, size pieceSize) (rollout, error) {
+func measureRolloutBeside(ctx context.Context, members, dead int) (rollout, error) {
 	f, heap, err := heapOf(func() (*gossipFleet, error) {
-		f, err := newGossipFleet(members, dead, size)
+		f, err := newGossipFleet(members, dead)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/capacity/measure_request_path.go
+++ b/internal/capacity/measure_request_path.go
@@ -7,7 +7,7 @@
 func routeSizes() []int      { return []int{700, 2800, 5500, TargetRoutes} }
 func connectionSizes() []int { return []int{64, 128, 256, targetConnections} }
 
-// targetConnections is how many client connections an ingress is to bear. The letter gives no figure: about four for
+// targetConnections is how many client connections an ingress is to bear. No figure is given for it: about four for
 // each request of a second of the peak.
 const targetConnections = 512
 
--- a/internal/capacity/runs.go
+++ b/internal/capacity/runs.go
@@ -67,7 +67,7 @@
 	return last
 }
 
-// limit is a bound of the letter on a figure of a run.
+// limit is a bound on a figure of a run.
 type limit struct {
 	figure    string
 	value     *float64
@@ -75,7 +75,7 @@
 	mechanism string
 }
 
-// The bounds on a run of the letter that are no budgets of the target.
+// The bounds on a run that are no budgets of the target.
 const (
 	mostInForceMS = BudgetInForceS * 1e3
 	mostSettledMS = 1e3
--- a/internal/capacity/server_list.go
+++ b/internal/capacity/server_list.go
@@ -52,8 +52,6 @@
 
 // listHolders are the parts of an ingress that hold the list.
 type listHolders struct {
-	parser  fastjson.Parser // keeps what it read last, as the watch's does
-	message []byte          // as the watch's buffer does
 	pool    *upstream.Pool
 	watcher *discovery.Watcher
 	gateway *admission.Gateway
@@ -72,11 +70,12 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &listHolders{message: wholeListMessage(servers)}
+	h := &listHolders{}
 	if h.gateway, err = admission.New(fleetSettings(TargetIngresses), decisionSeed); err != nil {
 		return nil, err
 	}
-	list, err := parseList(&h.parser, h.message)
+	var parser fastjson.Parser // the watch keeps neither it nor the message
+	list, err := parseList(&parser, wholeListMessage(servers))
 	if err != nil {
 		return nil, err
 	}
