--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -178,7 +178,7 @@
 		MemberPeriod: 300 * time.Millisecond, MemberAck: 100 * time.Millisecond, MemberSuspect: 1000 * time.Millisecond,
 		// A silent replica is left while half a second of a settings lease of 1.5 s remains for the next one. Longer than
 		// an election, in which no replica has anything to say.
-		ControlReadyWait: 2 * time.Second, ControlDial: 300 * time.Millisecond,
+		ControlReadyWait: 5 * time.Second, ControlDial: 300 * time.Millisecond,
 		ControlFirst: 500 * time.Millisecond, ControlSilence: time.Second,
 		ControlAnswer: 5 * time.Second, ControlEnd: 100 * time.Millisecond, ControlQueue: 256 << 10,
 		MemberHelpers: 2, MemberCarry: 6, Datagrams: 64, DatagramsSecond: 400,
--- a/internal/own/schema.cue
+++ b/internal/own/schema.cue
@@ -42,7 +42,7 @@
 		// Of an IP address and a port each.
 		replicas: [...#Address] | *[]
 		// After which a new process is ready though it has reached no replica.
-		ready_wait: #Time | *"2s"
+		ready_wait: #Time | *"5s"
 	}
 
 	// The bounds of an upgrade, by phase.
