--- a/internal/capacity/measure_control.go
+++ b/internal/capacity/measure_control.go
@@ -14,9 +14,9 @@
 		"network between regions adds its round trip to a commit"
 	leaseStandin = "simulated time; commands are applied at once and the check of leadership always succeeds: its messages " +
 		"between replicas, sockets and encryption come on top"
-	gossipMechanism = "existing: gossip of versions, internal/versions, which needs every member's word; missing: replicated " +
-		"log with leases and fan-out over followers"
-	reachMechanism = "missing: hierarchical fan-out; every member reports to every other, over the 400 datagrams a second that one takes"
+	gossipMechanism = "existing: gossip of versions, internal/versions, which needs every member's word; off unless " +
+		"configured: replicated log with leases and fan-out over followers, internal/controlgroup, internal/controlserver"
+	reachMechanism = "existing, off unless configured: fan-out over followers, internal/controlserver; by gossip every member reports to every other, over the 400 datagrams a second that one takes"
 	logMechanism   = "existing library: hashicorp/raft with a store on disk; its group, internal/controlgroup"
 	leaseMechanism = "existing: leases of the leader, internal/controlgroup/leader.go"
 )
--- a/internal/capacity/measure_ingress_control.go
+++ b/internal/capacity/measure_ingress_control.go
@@ -28,9 +28,9 @@
 	settingsMechanism  = "existing: the whole document to each member, internal/versions/versions.go; the pieces hold 64 KB at most"
 	underMechanism     = "existing: internal/config/under.go, which parses the list known from before the start again each time"
 	failureDetector    = "existing: failure detector in the manner of SWIM, internal/membership/probe.go"
-	shareMechanism     = "missing: lease; internal/membership/share.go waits for a word of every member, or a round of all for one that is dead"
-	fanOutMechanism    = "missing: hierarchical fan-out; internal/versions/versions.go has every member report to every other"
-	allReportMechanism = "missing: lease and quorum; internal/versions/versions.go waits for the report of every member that has not left"
+	shareMechanism     = "existing, off unless configured: share lease, internal/controlgroup; without it internal/membership/share.go waits for a word of every member, or a round of all for one that is dead"
+	fanOutMechanism    = "existing, off unless configured: fan-out over followers, internal/controlserver; without it internal/versions/versions.go has every member report to every other"
+	allReportMechanism = "existing, off unless configured: lease and quorum, internal/controlgroup; without it internal/versions/versions.go waits for the report of every member that has not left"
 	memberStandin      = "a simulated network, 5 ms a way, that loses nothing but what a member drops over 400 datagrams a second, and no sockets: a real one adds a system call a message, and loss prolongs waits. The caches of one machine hold the state of all members: processor time is rather too high"
 	versionsStandin    = memberStandin + ". Documents of 2 KB"
 )
--- a/internal/capacity/measure_replacement.go
+++ b/internal/capacity/measure_replacement.go
@@ -9,7 +9,7 @@
 const (
 	dialStandin = "every server that is new in a subset is counted as dialled, which it is once traffic reaches it; 4 of " +
 		"the ingresses that start are simulated, whose upstream hosts answer after 50 to 150 ms"
-	detectMechanism = "existing: failure detector with gossip, internal/membership/swim.go; missing: leases, which run out without anybody's word"
+	detectMechanism = "existing: failure detector with gossip, internal/membership/probe.go; leases, internal/controlgroup, run out without anybody's word"
 	moveMechanism   = "existing: subsetting by rendezvous hashing, admission/rendezvous: what stays is not dialled anew"
 	startMechanism  = "existing: connections dialled by need, internal/net/upstream; missing: a bound on handshakes a second"
 )
--- a/internal/capacity/settings_version.go
+++ b/internal/capacity/settings_version.go
@@ -64,7 +64,7 @@
 	return settingsCost{float64(len(second.Shared)), milliseconds(spent)}, err
 }
 
-// takeVersion goes through a rollout of a version as the daemon does (internal/daemon/rules.go).
+// takeVersion goes through a rollout of a version as the daemon does (internal/daemon/agreement.go).
 func takeVersion(own config.Config, version []byte) error {
 	if _, err := own.Under(version); err != nil { // the check
 		return err
