Daemon: a file without versions follows the control group; a proposal waits for a replica

Need, found in runs of the fleet tests: an ingress whose file has no settings_version reported to the group versions that it did not act on; SIGHUP in the moment between two replicas was turned down; and another test's replica took the address of a killed one, and granted leases to the wrong fleet.

Both documents now have the control group as their source, whether or not the file has a version.

--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -26,8 +26,8 @@
 // or the control group.
 type versionSource interface {
 	Document() string
-	Acting() []versions.Doc // oldest first, one at least
-	Newest() versions.Doc   // the last of them
+	Acting() []versions.Doc // oldest first; none: there is no version of the document yet
+	Newest() versions.Doc   // the last of them; number 0: none
 	Changed() bool          // once: whether they are others than when it was last asked
 	Refused() map[versions.Version]string
 	Stale() []string              // other members not known to act on the newest
@@ -48,30 +48,38 @@
 	logged            map[string][]versions.Version // by document: the versions acted on, as last logged
 }
 
-// sources are those that there are.
+// sources are those that have a version.
 func (a *agreement) sources() (list []versionSource) {
 	for _, s := range []versionSource{a.settings, a.drained} {
-		if s != nil {
+		if withVersion(s) != nil {
 			list = append(list, s)
 		}
 	}
 	return list
 }
 
-// settingsSource is that of the settings; nil: there is none, and each ingress goes by its own file.
+// withVersion is a source that has a version to act on, nil otherwise.
+func withVersion(s versionSource) versionSource {
+	if s == nil || len(s.Acting()) == 0 {
+		return nil
+	}
+	return s
+}
+
+// settingsSource is that of the settings; nil: there is none with a version, and each ingress goes by its own file.
 func (d *Daemon) settingsSource() versionSource {
 	if d.agreement == nil {
 		return nil
 	}
-	return d.agreement.settings
+	return withVersion(d.agreement.settings)
 }
 
-// drainedSource is that of the drained list; nil: there is none.
+// drainedSource is that of the drained list; nil: there is none with a version.
 func (d *Daemon) drainedSource() versionSource {
 	if d.agreement == nil {
 		return nil
 	}
-	return d.agreement.drained
+	return withVersion(d.agreement.drained)
 }
 
 // fileDocuments are the versions that a configuration has of its own: the settings', the drained list's. Number 0: none.
@@ -106,7 +114,7 @@
 func (d *Daemon) versionsChanged() {
 	a := d.agreement
 	a.logRejected(d)
-	if a.settings != nil && d.actingChanged(a.settings, "settings version") {
+	if s := d.settingsSource(); s != nil && d.actingChanged(s, "settings version") {
 		to, err := d.combined(d.told)
 		if err != nil { // each was checked when it was taken
 			d.log.Error("settings version not acted on", "error", err)
@@ -114,7 +122,7 @@
 			d.follow(to)
 		}
 	}
-	if a.drained != nil && d.actingChanged(a.drained, "drained list version") {
+	if s := d.drainedSource(); s != nil && d.actingChanged(s, "drained list version") {
 		d.watcher.Drain(a.drainedHosts())
 	}
 }
@@ -135,7 +143,8 @@
 	a.rejected = rejected
 }
 
-// actingChanged tells whether a source acts on other versions than before, and logs it. What it begins with is in force.
+// actingChanged tells whether a source acts on other versions than before, and logs it. What it begins with, unless that
+// was none, is followed already.
 func (d *Daemon) actingChanged(s versionSource, message string) bool {
 	if !s.Changed() {
 		return false
@@ -279,11 +288,10 @@
 // offersOf are the versions of a configuration for which there is a source.
 func (d *Daemon) offersOf(c config.Config) (offers []offer) {
 	set, drained := fileDocuments(c)
-	if s := d.settingsSource(); s != nil && set.Number != 0 {
-		offers = append(offers, offer{s, set})
-	}
-	if s := d.drainedSource(); s != nil && drained.Number != 0 {
-		offers = append(offers, offer{s, drained})
+	for _, o := range []offer{{d.agreement.settings, set}, {d.agreement.drained, drained}} {
+		if o.source != nil && o.doc.Number != 0 {
+			offers = append(offers, o)
+		}
 	}
 	return offers
 }
--- a/internal/daemon/controlgroup.go
+++ b/internal/daemon/controlgroup.go
@@ -51,7 +51,8 @@
 	g.changed(now)
 }
 
-// openAgreement begins with the versions of the file, or with the newest that this process has acted on.
+// openAgreement begins with the versions of the file, or with the newest that this process has acted on. Documents of
+// which the file has no version are followed, too, once the group has one.
 func (g *controlGroup) openAgreement() {
 	d := g.d
 	a := &agreement{logged: map[string][]versions.Version{}}
@@ -59,17 +60,17 @@
 		a.logged, a.ready, g.resumed = d.agreed.logged, d.agreed.ready, true
 	}
 	set, drained := fileDocuments(d.cfg)
-	source := func(document string, first versions.Doc) versionSource {
-		if first.Number == 0 {
-			return nil
-		}
+	for document, first := range map[string]versions.Doc{settingsDocument: set, drainedDocument: drained} {
 		if d.agreed != nil {
 			first = d.agreed.newest[document]
 		}
-		g.files = append(g.files, controlgroup.Document{Name: document, Version: first})
-		return controlSource{g, document}
+		if first.Number > 0 {
+			g.files = append(g.files, controlgroup.Document{Name: document, Version: first})
+		} else {
+			a.logged[document] = []versions.Version{} // it begins with none
+		}
 	}
-	a.settings, a.drained = source(settingsDocument, set), source(drainedDocument, drained)
+	a.settings, a.drained = controlSource{g, settingsDocument}, controlSource{g, drainedDocument}
 	d.agreement = a
 }
 
--- a/internal/daemon/controlsource.go
+++ b/internal/daemon/controlsource.go
@@ -39,7 +39,7 @@
 
 // Ends of proposals that the group has not answered.
 var (
-	errNoReplica = errors.New("no replica of the control group is connected")
+	errNoReplica = errors.New("no replica of the control group is connected; the version may still come in force")
 	errNoAnswer  = errors.New("the control group has not answered; the version may still come in force")
 	errClosed    = errors.New("this process gives up its part in the control group; the version may still come in force")
 )
@@ -53,6 +53,9 @@
 // Newest returns the last of them.
 func (s controlSource) Newest() versions.Doc {
 	acting := s.Acting()
+	if len(acting) == 0 {
+		return versions.Doc{}
+	}
 	return acting[len(acting)-1]
 }
 
@@ -85,13 +88,12 @@
 		return nil
 	case len(doc.Text) > documentMost:
 		return fmt.Errorf("version %v: %d bytes, at most %d", doc.Version, len(doc.Text), documentMost)
-	case s.g.client.Replica() == "":
-		return errNoReplica
 	}
 	return s.g.d.checkDocument(s.document, doc.Text)
 }
 
-// Offer proposes a version to the group. Done is called when that has answered, or after a limit.
+// Offer proposes a version to the group, as soon as a replica is connected. Done is called when the group has answered,
+// or after a limit.
 func (s controlSource) Offer(doc versions.Doc, done func(error)) {
 	if doc.Version == s.Newest().Version {
 		done(nil)
@@ -114,11 +116,19 @@
 		g.waiting[p] = w
 	}
 	w.limit.Stop()
-	w.limit = g.d.loop.After(g.d.cfg.Limits.ControlAnswer, func() { g.endProposal(p, errNoAnswer) })
+	w.limit = g.d.loop.After(g.d.cfg.Limits.ControlAnswer, func() { g.endProposal(p, g.unanswered()) })
 	w.done = append(w.done, done)
 	g.client.Send(messages)
 }
 
+// unanswered tells why the group has not answered in time.
+func (g *controlGroup) unanswered() error {
+	if g.client.Replica() == "" {
+		return errNoReplica
+	}
+	return errNoAnswer
+}
+
 // endProposals tells who waits what the group has answered.
 func (g *controlGroup) endProposals() {
 	for _, outcome := range g.member.Outcomes() {
