Control client: a test that counts ticks takes more of them than it waits for

It waited for exactly four messages of a member that sends one each 10 ms, and ran out of time where a fifth had come before it looked (once, on a busy machine).

--- a/internal/net/controlclient/client_test.go
+++ b/internal/net/controlclient/client_test.go
@@ -216,8 +216,8 @@
 	s.until(t, func() bool { return s.client.Replica() != "" })
 	s.member.due = s.loop.Now() + 5*time.Millisecond
 	s.client.Send(nil)
-	s.until(t, func() bool { return len(r.messages()) == 4 })
-	require.Equal(t, []controlgroup.Message{renew(1), renew(1001), renew(1002), renew(1003)}, r.messages())
+	s.until(t, func() bool { return len(r.messages()) >= 4 })
+	require.Equal(t, []controlgroup.Message{renew(1), renew(1001), renew(1002), renew(1003)}, r.messages()[:4])
 }
 
 // A process that gives up its leases ends its connection in the orderly way, and says no more than that; one that
