Control replicas: a reset that a write has met is not taken for the end of a process

Cause: a connection's reset is reported once; where the writer got it, the reader saw an orderly end (member.go, memberConn.end), and the leader was told that a living ingress had ended, so its place could be given away while it held its share. Change: the kernel's state of the connection decides.

--- a/internal/controlserver/member.go
+++ b/internal/controlserver/member.go
@@ -1,9 +1,7 @@
 package controlserver
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -128,7 +126,7 @@
 		return
 	}
 	current := c.server.members.remove(c)
-	ended := current && !closed && errors.Is(err, io.EOF) && c.server.context.Err() == nil
+	ended := current && !closed && endedInOrder(c.conn, err) && c.server.context.Err() == nil
 	c.server.log.Debug("member disconnected", "member", c.process.member, "incarnation", c.process.incarnation,
 		"orderly", ended, "error", err)
 	if ended {
