--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -92,20 +91,6 @@
 	return nil
 }
 
-// Free returns an address on loopback that nobody listens at. Its port is below those that systems give to outgoing
-// connections: one of these could take it before who asked for it listens there.
-func Free() (string, error) {
-	var err error
-	for range 100 {
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(22000))); err == nil {
-			defer l.Close()
-			return l.Addr().String(), nil
-		}
-	}
-	return "", err
-}
-
 // Config is an ingress's configuration.
 func (w *World) Config(name, addr string, me int, s Shape) map[string]any {
 	class := func(name, effect string, aim, deadline int, worth float64) map[string]any {
