Control group: one name for the answer to a proposal that was not judged

Cause: the prefix that tells an ingress to propose again stood in the replicas and in the daemon, each its own constant. Change: controlgroup.Unavailable, used by both.

--- a/internal/controlgroup/controlgroup.go
+++ b/internal/controlgroup/controlgroup.go
@@ -95,6 +95,10 @@
 	Text     []byte
 }
 
+// Unavailable begins the Error of a proposal that was not judged, or whose result is not known, as while there is no
+// leader. It may be proposed again.
+const Unavailable = "unavailable: "
+
 // ProposeResult tells what became of a Propose; an empty Error: the version is in force, durably.
 type ProposeResult struct {
 	Request uint64
--- a/internal/controlserver/propose.go
+++ b/internal/controlserver/propose.go
@@ -17,9 +17,7 @@
 	expiryPeriod    = time.Second
 )
 
-// unavailable begins the error of each proposal that was not judged, or whose result is not known. It may be proposed
-// again, at this replica or another: one that was committed meanwhile is then answered with success.
-const unavailable = "unavailable: "
+const unavailable = controlgroup.Unavailable
 
 var (
 	errNoLeader   = errors.New(unavailable + "no leader is known")
--- a/internal/daemon/controlsource.go
+++ b/internal/daemon/controlsource.go
@@ -31,9 +31,6 @@
 	limit *loop.Timer
 }
 
-// unavailable begins the answer of a replica that could not have a proposal judged, as while there is no leader.
-const unavailable = "unavailable: "
-
 // proposeAgain is how long after such an answer a version is proposed once more.
 const proposeAgain = 200 * time.Millisecond
 
@@ -134,7 +131,7 @@
 	for _, outcome := range g.member.Outcomes() {
 		p := proposal{outcome.Document, outcome.Version}
 		switch {
-		case strings.HasPrefix(outcome.Error, unavailable):
+		case strings.HasPrefix(outcome.Error, controlgroup.Unavailable):
 			g.d.loop.After(proposeAgain, func() { g.again(p) })
 		case outcome.Error != "":
 			g.endProposal(p, errors.New(outcome.Error))
