--- a/internal/controlgroup/controlgroup.go
+++ b/internal/controlgroup/controlgroup.go
@@ -96,7 +96,7 @@
 }
 
 // Unavailable begins the Error of a proposal that was not judged, or whose result is not known, as while there is no
-// leader. It may be proposed again.
+// leader. It may be proposed again, at any replica: one that was committed meanwhile is then answered with success.
 const Unavailable = "unavailable: "
 
 // ProposeResult tells what became of a Propose; an empty Error: the version is in force, durably.
