Upgrade: a successor that was told Farewell is not killed by the process it replaced

A probe of the control socket showed "connection refused": no process was left. After Farewell the new process closes its end of the connection, and the old one, which ends only in its next turn of the loop, could read that end first; peer.Lost took it for a death to make sure of and killed the process that served alone. Change: Lost does nothing once the machine is Over.

--- a/internal/daemon/peer.go
+++ b/internal/daemon/peer.go
@@ -81,10 +81,11 @@
 }
 
 // Lost: the new process has closed its end, or can't be understood. Whoever has closed it would serve beside
-// us if we took that for its death, so it is made sure.
+// us if we took that for its death, so it is made sure. After Farewell it serves alone and closes its end, while this
+// process may not have ended yet: it is left to serve then.
 func (r *peer) Lost(err error) {
 	r.lost = true
-	if r.p.peer != r {
+	if r.p.peer != r || r.p.machine.State == phase.Over {
 		return
 	}
 	if !errors.Is(err, io.EOF) {
