Upgrade test: the second one is asked for while the first surely prepares

Cause: TestFaults/second-upgrade failed once in 4 runs with "the upgrade that started this process is not over": by the time the test had read that the first upgrade prepares, that one was past its commit, and the new process answered. Change: discovery is silent until the second one was asked for, as other faults of that phase have it; the assertion is as before.

--- a/internal/lab/faults_signals.go
+++ b/internal/lab/faults_signals.go
@@ -140,9 +140,14 @@
 }
 
 func secondUpgrade(b *bench) error {
+	const phase = "preparing"
+	if err := b.prolong(phase); err != nil {
+		return err
+	}
 	var second error
-	_, err := b.upgradeDuring("preparing", func() error {
+	_, err := b.upgradeDuring(phase, func() error {
 		_, second = b.upgrade(nil)
+		b.world.Discovery.Silence(false)
 		return nil
 	})
 	if err == nil && (second == nil || !strings.Contains(second.Error(), "under way")) {
