Control client: a process that stood still does not leave a replica as silent

The limit on silence ran while the ingress itself stood still, so it reset a working connection in the very turn in which it asked again. Change: connection.silent gives a replica ControlFirst from the first message that it has not answered. TestAReplicaIsNotSilentWhileThisProcessStandsStill fails without the change.

--- a/internal/net/controlclient/client_test.go
+++ b/internal/net/controlclient/client_test.go
@@ -161,6 +161,24 @@
 	require.ErrorIs(t, silent.ended()[0], syscall.ECONNRESET)
 }
 
+// A process that stands still for longer than a replica may be silent has not asked it anything meanwhile: it asks, and
+// keeps the connection.
+func TestAReplicaIsNotSilentWhileThisProcessStandsStill(t *testing.T) {
+	r := newAnsweringReplica(t)
+	s := open(t, 0, func(l *limits.Limits) { l.ControlSilence = 60 * time.Millisecond }, r.addr)
+	s.member.answer = func(controlgroup.Message) ([]controlgroup.Message, error) {
+		if len(s.member.received) == 1 {
+			s.member.due = s.loop.Now() + 20*time.Millisecond
+			time.Sleep(120 * time.Millisecond) // stands still
+		}
+		return nil, nil
+	}
+	s.until(t, func() bool { return len(s.member.received) >= 3 })
+	require.Equal(t, uint64(1), s.client.Counts().Connections)
+	require.Zero(t, s.member.disconnected)
+	require.Empty(t, r.ended())
+}
+
 // A replica that speaks at times is kept beyond the limit on its silence.
 func TestAReplicaThatSpeaksIsKept(t *testing.T) {
 	r := newReplica(t, func(c net.Conn, _ int) {
--- a/internal/net/controlclient/connection.go
+++ b/internal/net/controlclient/connection.go
@@ -16,15 +16,29 @@
 	up     bool   // it has been established
 	heard  bool   // the replica has sent a message
 	ending bool   // GiveUp: what is left is written, then our side ends; what comes is dropped
+	asked  bool   // something was sent since the replica last sent anything
 	in     []byte // of a message that is not complete
 	out    []byte // not written yet
 	limit  *loop.Timer
+	// askedAt is when the first message was sent that asked is about.
+	askedAt time.Duration
 }
 
 // expect waits for the next sign of life.
 func (c *connection) expect(most time.Duration) {
 	c.limit.Stop()
-	c.limit = c.client.loop.After(most, func() { c.client.failed(errSilent) })
+	c.limit = c.client.loop.After(most, c.silent)
+}
+
+// silent ends waiting for a sign of life. A replica answers what it is asked, and a process that stood still, or had no
+// processor, has asked nothing meanwhile: it leaves a connection that works only when the replica has had its time.
+func (c *connection) silent() {
+	left := c.askedAt + c.client.lim.ControlFirst - c.client.loop.Now()
+	if c.asked && left > 0 {
+		c.expect(left)
+		return
+	}
+	c.client.failed(errSilent)
 }
 
 // close ends the connection; without a reset before it, in the orderly way.
@@ -65,6 +79,9 @@
 	for _, m := range list {
 		c.out = controlgroup.Append(c.out, m)
 	}
+	if len(list) > 0 && !c.asked {
+		c.asked, c.askedAt = true, c.client.loop.Now()
+	}
 	c.flush()
 }
 
@@ -117,6 +134,7 @@
 	if c.ending {
 		return
 	}
+	c.asked = false
 	c.expect(c.client.lim.ControlSilence)
 	c.in = append(c.in, buf[:n]...)
 	c.messages()
--- a/internal/net/controlclient/replica_test.go
+++ b/internal/net/controlclient/replica_test.go
@@ -65,6 +65,18 @@
 // newReplica serves each connection, the first being number 1, and then reads it until its end.
 func newReplica(t *testing.T, serve func(c net.Conn, number int)) *replica {
 	r := &replica{}
+	r.start(t, serve)
+	return r
+}
+
+// newAnsweringReplica answers each message with a grant.
+func newAnsweringReplica(t *testing.T) *replica {
+	r := &replica{}
+	r.start(t, r.answerEach)
+	return r
+}
+
+func (r *replica) start(t *testing.T, serve func(c net.Conn, number int)) {
 	over := make(chan struct{})
 	t.Cleanup(func() { close(over) })
 	r.addr = nettest.Serve(t, func(c net.Conn) {
@@ -79,7 +91,6 @@
 		go serve(c, number)
 		r.read(c)
 	})
-	return r
 }
 
 func (r *replica) read(c net.Conn) {
@@ -106,6 +117,19 @@
 	}
 }
 
+// answerEach writes a grant for each message that has come, until the connection ends.
+func (r *replica) answerEach(c net.Conn, _ int) {
+	for answered := 0; ; time.Sleep(time.Millisecond) {
+		if len(r.messages()) == answered {
+			continue
+		}
+		answered++
+		if _, err := c.Write(controlgroup.Append(nil, grant(uint64(answered)))); err != nil {
+			return
+		}
+	}
+}
+
 func (r *replica) ended() []error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
