--- a/cmd/ferrycontrol/commands_test.go
+++ b/cmd/ferrycontrol/commands_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 const configuration = `{"name":"n1","listen":"127.0.0.1:8443","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
@@ -53,7 +55,7 @@
 	g := newProcesses(t)
 	g.startAll()
 	leader := g.leader("")
-	replicas := strings.Join(append([]string{freeAddress(t)}, g.addresses()...), ",") // the first doesn't answer
+	replicas := strings.Join(append([]string{nettest.FreeAddress(t)}, g.addresses()...), ",") // the first doesn't answer
 
 	bad := writeConfiguration(t, `"deadline":2000`, `"deadline":0`)
 	code, _, errs := command("propose", "--replica", replicas, "--config", bad)
--- a/cmd/ferrycontrol/process_test.go
+++ b/cmd/ferrycontrol/process_test.go
@@ -5,11 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferryfront.example/ferryfront/internal/controlserver"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 const patience = 20 * time.Second // for what takes milliseconds where the disk is quick
@@ -56,7 +55,7 @@
 func newProcesses(t *testing.T, flags ...string) *processes {
 	g := &processes{t: t, flags: flags, data: t.TempDir(), running: map[string]*replicaProcess{}}
 	for _, id := range []string{"a", "b", "c"} {
-		g.replicas = append(g.replicas, controlserver.Replica{ID: id, Raft: freeAddress(t), Listen: freeAddress(t)})
+		g.replicas = append(g.replicas, controlserver.Replica{ID: id, Raft: nettest.FreeAddress(t), Listen: nettest.FreeAddress(t)})
 	}
 	var err error
 	g.log, err = os.Create(filepath.Join(t.TempDir(), "log"))
@@ -77,18 +76,6 @@
 	return g
 }
 
-// addressesGiven counts them in this process.
-var addressesGiven atomic.Uint32
-
-// freeAddress returns an address of which nobody else has the host, so that its port stays free until it is used.
-func freeAddress(t *testing.T) string {
-	n := addressesGiven.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 32+os.Getpid()%192, n>>8, n&255))
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // addresses are where all replicas listen, running or not.
 func (g *processes) addresses() (all []string) {
 	for _, r := range g.replicas {
--- a/internal/controlserver/group_test.go
+++ b/internal/controlserver/group_test.go
@@ -6,16 +6,15 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"ferryfront.example/ferryfront/internal/controlgroup"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 	"ferryfront.example/ferryfront/internal/settings"
 	"ferryfront.example/ferryfront/internal/versions"
 )
@@ -40,7 +39,7 @@
 		ids: []string{"a", "b", "c"}}
 	var replicas []Replica
 	for _, id := range g.ids {
-		replicas = append(replicas, Replica{id, freeAddress(t), freeAddress(t)})
+		replicas = append(replicas, Replica{id, nettest.FreeAddress(t), nettest.FreeAddress(t)})
 	}
 	for _, id := range g.ids {
 		g.configs[id] = Config{ID: id, Data: filepath.Join(g.dir, id), Replicas: replicas, Timing: shortTiming,
@@ -50,18 +49,6 @@
 	return g
 }
 
-// addressesGiven counts them in this process.
-var addressesGiven atomic.Uint32
-
-// freeAddress returns an address of which nobody else has the host, so that its port stays free until it is used.
-func freeAddress(t *testing.T) string {
-	n := addressesGiven.Add(1)
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 32+os.Getpid()%192, n>>8, n&255))
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func testLog(t *testing.T) *slog.Logger {
 	to := io.Discard
 	if testing.Verbose() {
--- a/internal/controlserver/proxy_test.go
+++ b/internal/controlserver/proxy_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // direction is one way through a proxy, in which data can be held up.
@@ -70,7 +72,7 @@
 func newProxy(t *testing.T) *proxy {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := &proxy{listener: l, target: freeAddress(t)}
+	p := &proxy{listener: l, target: nettest.FreeAddress(t)}
 	t.Cleanup(func() {
 		_ = l.Close()
 		p.requests.release()
--- a/internal/controlserver/server_test.go
+++ b/internal/controlserver/server_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferryfront.example/ferryfront/internal/controlgroup"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 	"ferryfront.example/ferryfront/internal/versions"
 )
 
@@ -188,7 +189,7 @@
 	g.start(g.ids...)
 	g.propose(drainedVersion(1))
 	leader := g.leader() // the worst to lose
-	added := Replica{"d", freeAddress(t), freeAddress(t)}
+	added := Replica{"d", nettest.FreeAddress(t), nettest.FreeAddress(t)}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	require.ErrorContains(t, ReplaceReplica(ctx, []string{g.address(leader)}, leader, Replica{ID: "d"}), "two addresses")
--- a/internal/net/nettest/nettest.go
+++ b/internal/net/nettest/nettest.go
@@ -2,7 +2,10 @@
 package nettest
 
 import (
+	"fmt"
 	"net"
+	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +32,19 @@
 	return ln.Addr().String()
 }
 
+// addressesGiven counts them in this process.
+var addressesGiven atomic.Uint32
+
+// FreeAddress returns an address on loopback of which nobody else has the host, so that its port stays free until it is
+// used.
+func FreeAddress(t *testing.T) string {
+	n := addressesGiven.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 32+os.Getpid()%192, n>>8, n&255))
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 type still struct{}
 
 func (still) Turn(time.Duration) time.Duration { return 0 }
