--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,10 +36,13 @@
 	Limits                           limits.Limits
 
 	keys   []string // that a file for a reload must have, too
-	raw    []byte
+	raw    []byte   // what was parsed, without the list of hosts
 	getenv func(string) string
 }
 
+// knownField is the list of hosts known from before the start. It is read once, and by far the longest field.
+const knownField = "known"
+
 // Load reads the file that GW_CONFIG names. GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_MGMT, where they are set,
 // go before what the file says.
 func Load(getenv func(string) string) (Config, error) { return load(getenv, Parse) }
@@ -94,7 +97,7 @@
 	r := settings.NewReader(doc, "")
 	r.Need("limits", "settings")
 	c := Config{
-		raw: raw, getenv: getenv,
+		getenv:     getenv,
 		keys:       keys(doc),
 		Name:       cmp.Or(getenv("GW_NAME"), r.Text("name")),
 		Listen:     cmp.Or(getenv("GW_LISTEN"), r.Text("listen")),
@@ -124,7 +127,7 @@
 			return none, err
 		}
 	}
-	if c.Known, err = discovery.ReadList(r.Object("known")); err != nil {
+	if c.Known, err = discovery.ReadList(r.Object(knownField)); err != nil {
 		return none, err
 	}
 	if seed := r.Text("seed"); seed != "" {
@@ -169,5 +172,7 @@
 	if _, err := admission.New(c.Settings, c.Seed); err != nil {
 		return none, err
 	}
+	doc.Del(knownField)
+	c.raw = doc.MarshalTo(nil)
 	return c, nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -100,8 +101,27 @@
 	require.Equal(t, 1, to.Settings.Me)
 	require.Equal(t, 1500*time.Millisecond, to.Settings.Classes[0].Deadline)
 	require.Equal(t, 2100*time.Millisecond, to.Limits.DrainMost)
+	require.Equal(t, c.Known, to.Known)
+	require.ElementsMatch(t, append(slices.Clone(c.keys), "settings.limits.maxAttempts"), to.keys, "a reload needs the same keys")
 	for _, bad := range []string{"", "{", `{"balancers":1}`, strings.Replace(shared, `"balancers":3`, `"balancers":1`, 1)} {
 		_, err := c.Under([]byte(bad))
 		require.Error(t, err, bad)
 	}
 }
+
+// Other settings are read without the list of hosts, which may be far longer than all else.
+func TestOtherSettingsCostTheSameWithAnyListOfHosts(t *testing.T) {
+	cost := func(hosts int) float64 {
+		host := good[strings.Index(good, `{"id"`):strings.Index(good, "]},")]
+		list := host + strings.Repeat(","+host, hosts-1)
+		file := strings.Replace(strings.Replace(good, host, list, 1), `"seed"`, `"settings_version":7,"seed"`, 1)
+		c, err := Parse([]byte(file), env(nil))
+		require.NoError(t, err)
+		shared := strings.Replace(string(c.Shared), `"limits":{`, `"limits":{"maxAttempts":2,`, 1)
+		return testing.AllocsPerRun(10, func() {
+			_, err := c.Under([]byte(shared))
+			require.NoError(t, err)
+		})
+	}
+	require.InDelta(t, cost(1), cost(2000), 20)
+}
--- a/internal/config/under.go
+++ b/internal/config/under.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/valyala/fastjson"
 
@@ -9,7 +10,8 @@
 )
 
 // Under returns the configuration with the shared part of other settings in place of its own, checked as a file is
-// at a reload. Its version stays: whoever has the other settings knows theirs.
+// at a reload. Its version stays: whoever has the other settings knows theirs. What it costs does not depend on the list
+// of hosts known from before the start, which stays, too.
 func (c Config) Under(shared []byte) (Config, error) {
 	doc, err := fastjson.ParseBytes(c.raw)
 	if err != nil {
@@ -27,5 +29,21 @@
 		return Config{}, err
 	}
 	doc.Set("settings", v)
-	return Parse(doc.MarshalTo(nil), c.getenv)
+	under, err := Parse(doc.MarshalTo(nil), c.getenv)
+	if err != nil {
+		return Config{}, err
+	}
+	under.Known = c.Known
+	under.keys = append(under.keys, knownKeys(c.keys)...)
+	return under, nil
+}
+
+// knownKeys are the keys of the list of hosts.
+func knownKeys(keys []string) (known []string) {
+	for _, key := range keys {
+		if key == knownField || strings.HasPrefix(key, knownField+".") {
+			known = append(known, key)
+		}
+	}
+	return known
 }
