Names: admin endpoint, harness and tenants where the code was touched

Change: mgmt.Door is Endpoint, its Office a Handler, daemon/door.go admin.go; what the upgrade faults have in common is a harness; tenants in their texts and in the quota test. No flag, field or log message changed.

Measured: vet; the tests of mgmt and daemon and those process tests that ask the endpoint pass.

--- a/internal/daemon/door.go
+++ b/internal/daemon/admin.go
@@ -7,12 +7,12 @@
 	"ferryfront.example/ferryfront/internal/net/mgmt"
 )
 
-// openDoor opens the operators' door where the configuration has one.
-func (d *Daemon) openDoor() (err error) {
-	if d.cfg.Mgmt == "" || d.door != nil {
+// openAdmin opens the admin endpoint where the configuration has one.
+func (d *Daemon) openAdmin() (err error) {
+	if d.cfg.Mgmt == "" || d.admin != nil {
 		return nil
 	}
-	if d.door, err = mgmt.Open(d.loop, d.cfg.Limits, d.log, d.cfg.Mgmt, office{d}); err != nil {
+	if d.admin, err = mgmt.Open(d.loop, d.cfg.Limits, d.log, d.cfg.Mgmt, adminHandler{d}); err != nil {
 		return fmt.Errorf("mgmt: %w", err)
 	}
 	return nil
@@ -27,16 +27,16 @@
 	d.figures.Name(names)
 }
 
-// office answers operators for a daemon.
-type office struct{ d *Daemon }
+// adminHandler answers operators for a daemon.
+type adminHandler struct{ d *Daemon }
 
 // Ready tells whether a client's request would be served here.
-func (o office) Ready() bool {
+func (o adminHandler) Ready() bool {
 	return o.d.known() && o.d.server.Serving()
 }
 
 // About tells the version of the settings, where they have one.
-func (o office) About() string {
+func (o adminHandler) About() string {
 	f := o.d.version()
 	switch {
 	case f.Newest == 0:
@@ -64,7 +64,7 @@
 }
 
 // Metrics appends the figures as they stand.
-func (o office) Metrics(room []byte) []byte {
+func (o adminHandler) Metrics(room []byte) []byte {
 	d := o.d
 	room = d.figures.Append(room, figures.Present{InFlight: d.core.Taken() + d.server.Relaying(), Listed: d.watcher.Listed(),
 		Down: d.module.Avoided(d.loop.Now())})
--- a/internal/daemon/beside.go
+++ b/internal/daemon/beside.go
@@ -14,8 +14,9 @@
 )
 
 // A replacement that somebody else has begun: the platform starts the next process beside this one, with the same
-// addresses but another door. They meet at a socket in $TMPDIR and hand over as in an upgrade. Whatever comes between,
-// the new process starts anew, by itself, and both listen at the clients' address until the old one is told to end.
+// addresses but another admin endpoint. They meet at a socket in $TMPDIR and hand over as in an upgrade. Whatever comes
+// between, the new process starts anew, by itself, and both listen at the clients' address until the old one is told to
+// end.
 
 // alone tells a process that it has tried to take over and is to begin by itself.
 const alone = "FERRYFRONT_ALONE"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -121,11 +121,11 @@
 	watcher   *discovery.Watcher
 	fronts    []opening
 	control   *control
-	door      *mgmt.Door    // nil where operators have none
-	members   *members      // nil where ingresses do not talk
-	group     *controlGroup // nil where there is none, or while another process has this one's place
-	agreement *agreement    // nil where no versions are agreed on with others
-	agreed    *agreed       // from the last time that another process took this one's place
+	admin     *mgmt.Endpoint // nil where operators have none
+	members   *members       // nil where ingresses do not talk
+	group     *controlGroup  // nil where there is none, or while another process has this one's place
+	agreement *agreement     // nil where no versions are agreed on with others
+	agreed    *agreed        // from the last time that another process took this one's place
 	figures   figures.Figures
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
@@ -165,7 +165,7 @@
 	for _, f := range d.fronts {
 		f.ready()
 	}
-	if err := errors.Join(d.openControl(), d.openDoor(), d.openMembers()); err != nil {
+	if err := errors.Join(d.openControl(), d.openAdmin(), d.openMembers()); err != nil {
 		return err
 	}
 	d.openControlGroup()
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -134,7 +134,7 @@
 	}
 }
 
-// present is what the door tells.
+// present is what the admin endpoint tells.
 func (d *Daemon) present(now time.Duration) figures.Fleet {
 	m := d.members
 	v, c := m.Node().View(), m.Counts()
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -257,9 +257,9 @@
 	d := p.d
 	d.dismiss()
 	d.closeMembers()       // the new process goes on under our name
-	if !p.machine.Beside { // else it has a door of its own, and ours still tells of this process
-		d.door.Close()
-		d.door = nil
+	if !p.machine.Beside { // else it has an admin endpoint of its own, and ours still tells of this process
+		d.admin.Close()
+		d.admin = nil
 	}
 	d.module.Retire()
 	d.core.Settle()
@@ -296,7 +296,7 @@
 	d.server.Release()
 	shareMemory(d.cfg.Limits, 1)
 	d.await()
-	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
+	if err := errors.Join(d.openControl(), d.openAdmin()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
 	d.openMembersAgain()
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -217,8 +217,8 @@
 		return
 	}
 	shareMemory(d.cfg.Limits, 2)
-	if d.beside { // its door is its own, and tells that it is not ready yet
-		if err := d.openDoor(); err != nil {
+	if d.beside { // its admin endpoint is its own, and tells that it is not ready yet
+		if err := d.openAdmin(); err != nil {
 			s.handle(phase.Unfit{Why: err.Error()})
 			return
 		}
@@ -303,7 +303,7 @@
 	for _, f := range d.fronts {
 		f.ready()
 	}
-	if err := errors.Join(d.openControl(), d.openDoor()); err != nil {
+	if err := errors.Join(d.openControl(), d.openAdmin()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
 	}
 	d.openMembersAgain()
--- a/internal/lab/cost.go
+++ b/internal/lab/cost.go
@@ -26,10 +26,10 @@
 func Cost(s Setup, other string, rate float64, rounds int, each time.Duration) (CostReport, error) {
 	r := CostReport{Scenario: "cost", Rounds: rounds, CPU: make([]float64, 2), ClockTick: 1e3 / ticks}
 	shape := standin.Shape{Hosts: 4, Work: 5 * time.Millisecond, Bare: true}
-	var benches []*bench
+	var benches []*harness
 	for _, binary := range []string{s.Ferryfront, other} {
 		s.Ferryfront = binary
-		b, err := newBench(s, shape)
+		b, err := newHarness(s, shape)
 		if err != nil {
 			return r, err
 		}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -14,25 +14,25 @@
 	Name, About string
 	shape       func(*standin.Shape)
 	quiet       bool // without the usual load
-	run         func(*bench) error
+	run         func(*harness) error
 }
 
 // Faults returns all hard cases: first those with a binary that fails, then those with a good one.
 func Faults() []Fault {
 	bad := func(name, about, says string) Fault {
-		return Fault{Name: name, About: about, run: func(b *bench) error { return b.mustFail(b.installMisbehaving(name), says) }}
+		return Fault{Name: name, About: about, run: func(b *harness) error { return b.mustFail(b.installMisbehaving(name), says) }}
 	}
 	return append([]Fault{
-		{Name: "missing", About: "no binary at the path", run: func(b *bench) error {
+		{Name: "missing", About: "no binary at the path", run: func(b *harness) error {
 			return b.mustFail(func() error { return os.Remove(b.ingress.Binary) }, "not started")
 		}},
-		{Name: "not-executable", About: "a file that may not be run", run: func(b *bench) error {
+		{Name: "not-executable", About: "a file that may not be run", run: func(b *harness) error {
 			return b.mustFail(func() error { return b.ingress.Put([]byte("#!/bin/sh\n"), 0o600) }, "not started")
 		}},
-		{Name: "exits-at-once", About: "it ends before it says a word", run: func(b *bench) error {
+		{Name: "exits-at-once", About: "it ends before it says a word", run: func(b *harness) error {
 			return b.mustFail(func() error { return b.ingress.Put([]byte("#!/bin/sh\nexit 3\n"), 0o700) }, "exit status 3")
 		}},
-		{Name: "refuses-configuration", About: "the configuration has become unreadable", run: func(b *bench) error {
+		{Name: "refuses-configuration", About: "the configuration has become unreadable", run: func(b *harness) error {
 			path := filepath.Join(filepath.Dir(b.ingress.Binary), "config.json")
 			good, err := os.ReadFile(path)
 			if err != nil {
@@ -62,20 +62,20 @@
 	for _, phase := range []string{"starting", "preparing", "copying", "frozen", "probation"} {
 		list = append(list,
 			Fault{Name: "terminated-" + phase, About: "SIGTERM goes to the old process while " + phase, quiet: true,
-				run: func(b *bench) error { return b.terminated(phase) }},
+				run: func(b *harness) error { return b.terminated(phase) }},
 			Fault{Name: "old-killed-" + phase, About: "the old process is killed while " + phase, quiet: phase != "probation",
-				run: func(b *bench) error { return b.oldKilled(phase) }})
+				run: func(b *harness) error { return b.oldKilled(phase) }})
 	}
 	return append(list, []Fault{
 		{Name: "killed-in-probation", About: "the new process is killed after it took over", run: killedInProbation},
 		{Name: "reload-during", About: "SIGHUP comes while the new process prepares", run: reloadDuring},
 		{Name: "second-upgrade", About: "an upgrade is asked for while one is under way", run: secondUpgrade},
-		{Name: "counter-outage", About: "the counter is silent throughout", run: func(b *bench) error {
+		{Name: "counter-outage", About: "the counter is silent throughout", run: func(b *harness) error {
 			b.world.Counter.Set(standin.Silent)
 			defer b.world.Counter.Set(standin.Answering)
 			return b.mustUpgrade()
 		}},
-		{Name: "discovery-outage", About: "discovery is silent throughout", run: func(b *bench) error {
+		{Name: "discovery-outage", About: "discovery is silent throughout", run: func(b *harness) error {
 			b.world.Discovery.Silence(true)
 			defer b.world.Discovery.Silence(false)
 			return b.mustUpgrade()
@@ -84,8 +84,8 @@
 			shape: func(s *standin.Shape) { s.Work = 3 * time.Millisecond }, run: halfRequests},
 		{Name: "order-in-flight", About: "an order is out at the old process, and is asked again at the new one",
 			shape: func(s *standin.Shape) { s.Work = 400 * time.Millisecond }, quiet: true, run: orderInFlight},
-		{Name: "burst", About: "a dealer asks for 7 times its quota through 20 upgrades", run: burst},
-		{Name: "ceiling", About: "dealers with a ceiling ask for far more through 10 upgrades", run: ceiling},
+		{Name: "burst", About: "a tenant asks for 7 times its quota through 20 upgrades", run: burst},
+		{Name: "ceiling", About: "tenants with a ceiling ask for far more through 10 upgrades", run: ceiling},
 		{Name: "cold-host", About: "a host has just started, and there are 10 upgrades", run: coldHost},
 	}...)
 }
@@ -132,7 +132,7 @@
 }
 
 // reinstall puts the good binary in place again, and waits until no upgrade is under way.
-func (b *bench) reinstall() error {
+func (b *harness) reinstall() error {
 	if err := b.ingress.Install(b.Ferryfront); err != nil {
 		return err
 	}
--- a/internal/lab/faults_budgets.go
+++ b/internal/lab/faults_budgets.go
@@ -10,7 +10,7 @@
 // What upgrades may not add to: quotas, ceilings, and what a cold host is sent.
 
 // burst compares what a tenant far over its quota gets with upgrades and without, in two spells of one length.
-func burst(b *bench) error {
+func burst(b *harness) error {
 	spell := func(first int, upgrades int) (float64, time.Duration, error) {
 		stop := b.load(standin.Load{Rate: 70, Customers: 1, First: first, Plan: "small", Prefix: fmt.Sprint("burst", upgrades, "-"), Seed: 5})
 		began := time.Now()
@@ -50,7 +50,7 @@
 	maxQuotaError = 0.05 // of the quota: what upgrades may let in beyond one process
 )
 
-func ceiling(b *bench) error {
+func ceiling(b *harness) error {
 	stop := b.load(standin.Load{Rate: 300, Customers: ceilingTenants, First: firstCeilingTenant, Plan: "distributeur", Prefix: "c", Seed: 6})
 	defer stop()
 	for range 10 {
@@ -61,7 +61,7 @@
 	return nil
 }
 
-func coldHost(b *bench) error {
+func coldHost(b *harness) error {
 	h := &standin.Host{Name: "cold", Zone: "salle-a", Cell: 2, Slots: 2, Queue: 200, Work: 30 * time.Millisecond,
 		ColdFor: 8 * time.Second, ColdFrom: 0.2}
 	if err := b.world.AddHost(h); err != nil {
@@ -79,7 +79,7 @@
 }
 
 // countRuns counts what hosts have been sent of one kind.
-func (b *bench) countRuns(of func(standin.Run) bool) (n float64) {
+func (b *harness) countRuns(of func(standin.Run) bool) (n float64) {
 	for _, run := range b.world.Record.Runs() {
 		if of(run) {
 			n++
--- a/internal/lab/faults_harness.go
+++ b/internal/lab/faults_harness.go
@@ -16,14 +16,14 @@
 // What the faults have in common: installing binaries, upgrades that fail or succeed as they must, and waiting.
 
 // installMisbehaving returns a function that puts a successor in place which fails in the stated way.
-func (b *bench) installMisbehaving(how string) func() error {
+func (b *harness) installMisbehaving(how string) func() error {
 	return func() error {
 		return b.ingress.Put(fmt.Appendf(nil, "#!/bin/sh\nexec %s misbehave %s\n", b.Lab, how), 0o700)
 	}
 }
 
 // mustFail makes an upgrade that must fail for a reason, and sees that the old process carries on.
-func (b *bench) mustFail(spoil func() error, says string) error {
+func (b *harness) mustFail(spoil func() error, says string) error {
 	before, err := b.status()
 	if err != nil {
 		return err
@@ -46,7 +46,7 @@
 }
 
 // mustUpgrade makes an upgrade that must succeed.
-func (b *bench) mustUpgrade() error {
+func (b *harness) mustUpgrade() error {
 	if _, err := b.upgrade(nil); err != nil {
 		return err
 	}
@@ -58,7 +58,7 @@
 
 // upgradeDuring does something at a phase of an upgrade, and returns that one's end. The error wraps errPhaseMissed if
 // the upgrade never came to that phase.
-func (b *bench) upgradeDuring(phase string, do func() error) (end daemon.Progress, err error) {
+func (b *harness) upgradeDuring(phase string, do func() error) (end daemon.Progress, err error) {
 	var did error
 	reached := false
 	end, err = b.upgrade(func(text string) {
@@ -77,7 +77,7 @@
 }
 
 // awaitEnd waits until the ingress's first process has ended.
-func (b *bench) awaitEnd() error {
+func (b *harness) awaitEnd() error {
 	select {
 	case <-b.ingress.Ended():
 		return nil
@@ -87,7 +87,7 @@
 }
 
 // checkServing makes sure that the process that is there now reads: on a new connection, and on those that were open.
-func (b *bench) checkServing() error {
+func (b *harness) checkServing() error {
 	for i := range 20 {
 		fresh := &standin.Clients{Addr: b.ingress.Addr, Record: b.world.Record, Wait: 2500 * time.Millisecond}
 		c := b.clients
@@ -104,7 +104,7 @@
 	return nil
 }
 
-func (b *bench) status() (daemon.Status, error) {
+func (b *harness) status() (daemon.Status, error) {
 	var s daemon.Status
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/internal/lab/faults_requests.go
+++ b/internal/lab/faults_requests.go
@@ -12,7 +12,7 @@
 // Requests that an upgrade finds half read, or out at a host.
 
 // halfRequests upgrades while connections have sent half a request each, which has to be answered when the rest has come.
-func halfRequests(b *bench) error {
+func halfRequests(b *harness) error {
 	const count = 200
 	conns := make([]net.Conn, count)
 	defer func() {
@@ -104,7 +104,7 @@
 
 // orderInFlight upgrades while an order is out at the old process. Its key and its id are refused at the new one
 // meanwhile, and a repeat after that goes to the cell that knows the key.
-func orderInFlight(b *bench) error {
+func orderInFlight(b *harness) error {
 	ask := standin.Ask{ID: "first", Key: "the-key", Customer: standin.CustomerName(1), Class: "order", Plan: "boutique"}
 	first := make(chan standin.Answer, 1)
 	go func() { first <- b.clients.Do(ask) }()
@@ -146,7 +146,7 @@
 
 // repeatInCell asks for an order again that is over and whose window is open. The repeat has to run in the cell that knows
 // the key, whichever process takes it.
-func (b *bench) repeatInCell(order standin.Ask) error {
+func (b *harness) repeatInCell(order standin.Ask) error {
 	cell := b.world.Record.Runs()[0].Cell
 	again := order
 	again.ID = "third"
--- a/internal/lab/faults_signals.go
+++ b/internal/lab/faults_signals.go
@@ -14,7 +14,7 @@
 
 // Faults by signal, and a second request for an upgrade, while one is under way.
 
-func killedInProbation(b *bench) error {
+func killedInProbation(b *harness) error {
 	old, err := b.status()
 	if err != nil {
 		return err
@@ -52,7 +52,7 @@
 const maxTakebackMS = 250
 
 // prolong makes a phase last long enough for something to be done in it.
-func (b *bench) prolong(phase string) error {
+func (b *harness) prolong(phase string) error {
 	switch phase {
 	case "starting":
 		return b.ingress.Put(fmt.Appendf(nil, "#!/bin/sh\nsleep 0.3\nexec %s \"$@\"\n", b.Ferryfront), 0o700)
@@ -68,7 +68,7 @@
 
 // oldKilled kills the old process. Before all of the state is over, the ingress is down, as with any crash, and
 // nothing is left behind; after that the new one serves.
-func (b *bench) oldKilled(phase string) error {
+func (b *harness) oldKilled(phase string) error {
 	old, err := b.status()
 	if err != nil {
 		return err
@@ -97,7 +97,7 @@
 	})
 }
 
-func (b *bench) terminated(phase string) error {
+func (b *harness) terminated(phase string) error {
 	var wg sync.WaitGroup
 	for i := range 20 {
 		wg.Add(1)
@@ -133,7 +133,7 @@
 	})
 }
 
-func reloadDuring(b *bench) error {
+func reloadDuring(b *harness) error {
 	pid := b.ingress.Cmd.Process.Pid
 	if _, err := b.upgradeDuring("preparing", func() error { return syscall.Kill(pid, syscall.SIGHUP) }); err != nil {
 		return err
@@ -146,7 +146,7 @@
 	})
 }
 
-func secondUpgrade(b *bench) error {
+func secondUpgrade(b *harness) error {
 	const phase = "preparing"
 	if err := b.prolong(phase); err != nil {
 		return err
--- a/internal/lab/freeze.go
+++ b/internal/lab/freeze.go
@@ -30,7 +30,7 @@
 func Freeze(s Setup, customers, connections int) (FreezeReport, error) {
 	r := FreezeReport{Customers: customers, Connections: connections}
 	const probation = 100 * time.Millisecond
-	b, err := newBench(s, standin.Shape{Hosts: 4, Work: time.Millisecond, Settings: settings(probation)})
+	b, err := newHarness(s, standin.Shape{Hosts: 4, Work: time.Millisecond, Settings: settings(probation)})
 	if err != nil {
 		return r, err
 	}
@@ -79,7 +79,7 @@
 }
 
 // fill has customers ask once each, over a few connections and requests sent ahead.
-func (b *bench) fill(first, n int) error {
+func (b *harness) fill(first, n int) error {
 	const workers = 4
 	var wg sync.WaitGroup
 	errs := make(chan error, workers)
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func (b *bench) ahead(from, to int) error {
+func (b *harness) ahead(from, to int) error {
 	const batch = 100
 	conn, err := net.Dial("tcp", b.ingress.Addr)
 	if err != nil {
--- a/internal/lab/quota_test.go
+++ b/internal/lab/quota_test.go
@@ -20,16 +20,16 @@
 	quotaStore = 40.0 // a window is two seconds, and each run of these has three edges
 )
 
-// dealers ask for what they ask for, each tick at one of the ingresses, for a while.
-type dealers struct {
-	world  *standin.World
-	doors  []*standin.Clients
-	heavy  int // ask for four times their quota; the others, as many again, for half of it
-	door   func(dealer int, since time.Duration, rng *rand.Rand) int
-	events map[time.Duration]func() // what happens meanwhile
+// tenants ask for what they ask for, each tick at one of the ingresses, for a while.
+type tenants struct {
+	world     *standin.World
+	ingresses []*standin.Clients
+	heavy     int // ask for four times their quota; the others, as many again, for half of it
+	ingress   func(tenant int, since time.Duration, rng *rand.Rand) int
+	events    map[time.Duration]func() // what happens meanwhile
 }
 
-func (d *dealers) run(lasts time.Duration) {
+func (d *tenants) run(lasts time.Duration) {
 	const tick = 5 * time.Millisecond
 	rng, began := rand.New(rand.NewPCG(7, 7)), time.Now()
 	var all sync.WaitGroup
@@ -38,18 +38,18 @@
 		if do := d.events[since]; do != nil {
 			do()
 		}
-		for dealer := range 2 * d.heavy {
+		for tenant := range 2 * d.heavy {
 			rate := 4 * quotaRate
-			if dealer >= d.heavy {
+			if tenant >= d.heavy {
 				rate = quotaRate / 2
 			}
 			if rng.Float64() >= rate*tick.Seconds() {
 				continue
 			}
 			n++
-			ask := standin.Ask{ID: fmt.Sprintf("q%d", n), Customer: standin.CustomerName(dealer), Class: "stock", Plan: "held",
-				Spread: len(d.doors), Due: began.Add(since)}
-			at := d.doors[d.door(dealer, since, rng)]
+			ask := standin.Ask{ID: fmt.Sprintf("q%d", n), Customer: standin.CustomerName(tenant), Class: "stock", Plan: "held",
+				Spread: len(d.ingresses), Due: began.Add(since)}
+			at := d.ingresses[d.ingress(tenant, since, rng)]
 			all.Go(func() { at.Do(ask) })
 		}
 		time.Sleep(time.Until(began.Add(since + tick))) // an open loop: the schedule is the load's, no condition is waited for
@@ -57,7 +57,7 @@
 	all.Wait()
 }
 
-// beyond counts the tries that were sent on, and those of them beyond the store of their dealer, which is full at first.
+// beyond counts the tries that were sent on, and those of them beyond the store of their tenant, which is full at first.
 func beyond(runs []standin.Run) (sent, over int) {
 	type store struct {
 		level float64
@@ -85,34 +85,34 @@
 }
 
 // Quotas hold over several processes at one counter: what is let through beyond them costs at most a tenth of what is asked
-// inside, across the edges of windows, where the busiest ingress of each dealer changes, and where attempts are made again;
+// inside, across the edges of windows, where the busiest ingress of each tenant changes, and where attempts are made again;
 // three tenths while the counter is slow or lost for a moment. Who keeps to his quota is served.
 func TestQuotasHoldOverSeveralProcesses(t *testing.T) {
 	const lasts = 6500 * time.Millisecond
 	spread := func(_ int, _ time.Duration, rng *rand.Rand) int { return rng.IntN(3) }
-	for name, shape := range map[string]func(d *dealers){
-		"edges of windows": func(*dealers) {},
-		"the busiest door changes": func(d *dealers) {
-			d.door = func(dealer int, since time.Duration, rng *rand.Rand) int {
+	for name, shape := range map[string]func(d *tenants){
+		"edges of windows": func(*tenants) {},
+		"the busiest ingress changes": func(d *tenants) {
+			d.ingress = func(tenant int, since time.Duration, rng *rand.Rand) int {
 				if rng.Float64() < 0.8 {
-					return (dealer + int(since/(1500*time.Millisecond))) % 3
+					return (tenant + int(since/(1500*time.Millisecond))) % 3
 				}
 				return rng.IntN(3)
 			}
 		},
-		"counter slow for a moment": func(d *dealers) {
+		"counter slow for a moment": func(d *tenants) {
 			d.events[2*time.Second] = func() { d.world.Counter.Delay(15 * time.Millisecond) }
 			d.events[3500*time.Millisecond] = func() { d.world.Counter.Delay(0) }
 		},
-		"counter turns all away for a moment": func(d *dealers) {
+		"counter turns all away for a moment": func(d *tenants) {
 			d.events[2*time.Second] = func() { d.world.Counter.Set(standin.Refusing) }
 			d.events[3*time.Second] = func() { d.world.Counter.Set(standin.Answering) }
 		},
-		"counter silent for a moment": func(d *dealers) {
+		"counter silent for a moment": func(d *tenants) {
 			d.events[2*time.Second] = func() { d.world.Counter.Set(standin.Silent) }
 			d.events[3*time.Second] = func() { d.world.Counter.Set(standin.Answering) }
 		},
-		"attempts made again": func(d *dealers) {
+		"attempts made again": func(d *tenants) {
 			for _, h := range d.world.Hosts {
 				h.Fail(0.2)
 			}
@@ -125,13 +125,13 @@
 			w, err := standin.NewWorld(t.TempDir(), s)
 			require.NoError(t, err)
 			t.Cleanup(w.Close)
-			d := &dealers{world: w, heavy: 4, door: spread, events: map[time.Duration]func(){}}
+			d := &tenants{world: w, heavy: 4, ingress: spread, events: map[time.Duration]func(){}}
 			for i := range s.Ingresses {
 				in, err := w.Start(filepath.Join(bin, "ferryfront"), s)
 				require.NoError(t, err)
 				c := &standin.Clients{Addr: in.Addr, Record: w.Record, Wait: 3 * time.Second, Via: i}
 				t.Cleanup(c.Close)
-				d.doors = append(d.doors, c)
+				d.ingresses = append(d.ingresses, c)
 			}
 			shape(d)
 			most := 0.1
@@ -150,8 +150,8 @@
 			calm, calmServed := 0, 0
 			for _, a := range w.Record.Answers() {
 				require.NotZero(t, a.Status, "%+v", a)
-				for dealer := d.heavy; dealer < 2*d.heavy; dealer++ {
-					if a.Customer == standin.CustomerName(dealer) {
+				for tenant := d.heavy; tenant < 2*d.heavy; tenant++ {
+					if a.Customer == standin.CustomerName(tenant) {
 						if calm++; a.Status == 200 {
 							calmServed++
 						}
--- a/internal/lab/rollout.go
+++ b/internal/lab/rollout.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// roll gives a member the next version: dealers with a ceiling may have half, the others a fifth more.
+// roll gives a member the next version: tenants with a ceiling may have half, the others a fifth more.
 func (s *fleet) roll(member int) {
 	err := s.world.Ingresses[member].Configure(func(config, settings map[string]any) {
 		config["settings_version"] = config["settings_version"].(int) + 1
--- a/internal/lab/rollout_test.go
+++ b/internal/lab/rollout_test.go
@@ -249,7 +249,7 @@
 	s.act(t, []uint64{2}, 0, 1)
 }
 
-// A version that one member can't act on is told of at its door and log, and never stands alone.
+// A version that one member can't act on is reported at its admin endpoint and in its log, and never stands alone.
 func TestAVersionThatOneMemberTurnsDown(t *testing.T) {
 	s := versioned(t)
 	require.NoError(t, s.world.Ingresses[0].Configure(func(config, settings map[string]any) {
--- a/internal/lab/upgrade.go
+++ b/internal/lab/upgrade.go
@@ -58,8 +58,8 @@
 // Failed tells whether a rule was broken or the experiment did not go as it must.
 func (r UpgradeReport) Failed() bool { return r.Error != "" || r.Verdict.Broken() }
 
-// bench is a world with one ingress under load.
-type bench struct {
+// harness is a world with one ingress under load.
+type harness struct {
 	Setup
 	world         *standin.World
 	ingress       *standin.Ingress
@@ -71,7 +71,7 @@
 	probes        int
 }
 
-func newBench(s Setup, shape standin.Shape) (*bench, error) {
+func newHarness(s Setup, shape standin.Shape) (*harness, error) {
 	if s.Say == nil {
 		s.Say = func(string, ...any) {}
 	}
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{Setup: s, world: w, shape: shape, stop: func() {}, extra: map[string]float64{}}
+	b := &harness{Setup: s, world: w, shape: shape, stop: func() {}, extra: map[string]float64{}}
 	if b.ingress, err = w.Start(s.Ferryfront, shape); err != nil {
 		w.Close()
 		return nil, err
@@ -92,14 +92,14 @@
 	return b, nil
 }
 
-func (b *bench) close() {
+func (b *harness) close() {
 	b.stop()
 	b.clients.Close()
 	b.world.Close()
 }
 
 // load begins one; the function that is returned ends it and waits for its answers.
-func (b *bench) load(l standin.Load) func() {
+func (b *harness) load(l standin.Load) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -117,7 +117,7 @@
 	maxCounterConnections = 32               // that the counter takes from one address; it resets what is over
 )
 
-func (b *bench) upgrade(tell func(phase string)) (daemon.Progress, error) {
+func (b *harness) upgrade(tell func(phase string)) (daemon.Progress, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), upgradeTimeout)
 	defer cancel()
 	return daemon.Upgrade(ctx, b.ingress.Control, func(p daemon.Progress) {
@@ -128,7 +128,7 @@
 }
 
 // waitIdle waits until no upgrade is under way any more: a process that has just taken over is on probation.
-func (b *bench) waitIdle() error {
+func (b *harness) waitIdle() error {
 	for end := time.Now().Add(upgradeTimeout); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if s, err := b.status(); err == nil && (s.Phase == "idle" || s.Phase == "independent") {
 			return nil
@@ -137,14 +137,14 @@
 	return errors.New("an upgrade does not end")
 }
 
-func (b *bench) verdict() standin.Verdict {
+func (b *harness) verdict() standin.Verdict {
 	v := b.world.Record.Check(b.rules())
 	v.Lost = max(0, v.Lost-b.allowedLosses)
 	return v
 }
 
 // rules are those of the world's plan with a ceiling.
-func (b *bench) rules() standin.Rules { return ceilingRules(ceilingTenants) }
+func (b *harness) rules() standin.Rules { return ceilingRules(ceilingTenants) }
 
 // ceilingRules are those for so many tenants with a ceiling.
 func ceilingRules(tenants int) standin.Rules {
@@ -174,7 +174,7 @@
 // Run upgrades one ingress again and again under load, after the same load without.
 func (u Upgrades) Run() (UpgradeReport, error) {
 	r := UpgradeReport{Scenario: "plain"}
-	b, err := newBench(u.Setup, standin.Shape{Hosts: 4, Work: 30 * time.Millisecond, Settings: settings(u.Probation)})
+	b, err := newHarness(u.Setup, standin.Shape{Hosts: 4, Work: 30 * time.Millisecond, Settings: settings(u.Probation)})
 	if err != nil {
 		return r, err
 	}
--- a/internal/net/mgmt/mgmt.go
+++ b/internal/net/mgmt/mgmt.go
@@ -1,4 +1,5 @@
-// Package mgmt is the operators' door: a listener of its own, one line to a connection, an answer, and the end.
+// Package mgmt is the admin endpoint: a listener of its own, one line to a connection, an answer, and the end. It is
+// owned by the loop's goroutine, and decides nothing: a Handler answers.
 package mgmt
 
 import (
@@ -11,28 +12,28 @@
 	"ferryfront.example/ferryfront/internal/net/loop"
 )
 
-// Office answers what operators ask.
-type Office interface {
+// Handler answers what operators ask.
+type Handler interface {
 	Ready() bool                // a client's request would be served
 	Metrics(room []byte) []byte // appends the figures
 	About() string              // goes behind the word on readiness
 }
 
-// Door holds the callers. They are served first in each turn of the loop, and their descriptors are theirs:
+// Endpoint is a listener with its callers. They are served first in each turn of the loop, and their descriptors are theirs:
 // no number of clients keeps an operator out.
-type Door struct {
-	loop   *loop.Loop
-	lim    limits.Limits
-	log    *slog.Logger
-	office Office
-	ln     *loop.Source
-	calls  []*caller     // the one that has waited longest first
-	told   time.Duration // when a failure to accept was last told
+type Endpoint struct {
+	loop    *loop.Loop
+	lim     limits.Limits
+	log     *slog.Logger
+	handler Handler
+	ln      *loop.Source
+	calls   []*caller     // the one that has waited longest first
+	told    time.Duration // when a failure to accept was last told
 }
 
 // Open listens at an address.
-func Open(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string, o Office) (*Door, error) {
-	d := &Door{loop: l, lim: lim, log: log, office: o}
+func Open(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string, o Handler) (*Endpoint, error) {
+	d := &Endpoint{loop: l, lim: lim, log: log, handler: o}
 	fd, err := loop.ListenBeside(addr) // a successor opens it before we close it
 	if err != nil {
 		return nil, err
@@ -46,7 +47,7 @@
 }
 
 // Close takes no more callers. It is safe on nil.
-func (d *Door) Close() {
+func (d *Endpoint) Close() {
 	if d != nil {
 		d.ln.Close()
 	}
@@ -57,7 +58,7 @@
 
 // Ready accepts who waits. Callers that say nothing must not shut out the next: where all places are taken, the
 // one that has been there longest goes.
-func (d *Door) Ready(uint32) {
+func (d *Endpoint) Ready(uint32) {
 	for range d.lim.Accepts {
 		fd, err := loop.Accept(d.ln.FD())
 		if errors.Is(err, loop.ErrAgain) {
@@ -86,7 +87,7 @@
 
 // caller is one connection: it says one line and gets one answer.
 type caller struct {
-	d     *Door
+	d     *Endpoint
 	src   *loop.Source
 	timer *loop.Timer
 	line  []byte
@@ -135,12 +136,12 @@
 	switch string(bytes.TrimSuffix(line, []byte("\r"))) {
 	case "STATUS":
 		word := "200 ready"
-		if !c.d.office.Ready() {
+		if !c.d.handler.Ready() {
 			word = "400 not ready"
 		}
-		c.out = []byte(word + c.d.office.About() + "\n")
+		c.out = []byte(word + c.d.handler.About() + "\n")
 	case "METRICS":
-		c.out = append(c.d.office.Metrics(nil), "EOF\n"...)
+		c.out = append(c.d.handler.Metrics(nil), "EOF\n"...)
 	default:
 		c.out = []byte("400 no such call\n")
 	}
--- a/internal/net/mgmt/mgmt_test.go
+++ b/internal/net/mgmt/mgmt_test.go
@@ -29,8 +29,8 @@
 
 const patience = 20 * time.Second
 
-// open opens a door on a loop of its own and returns its address.
-func open(t *testing.T, o Office, lim limits.Limits) (string, *bytes.Buffer) {
+// open opens an endpoint on a loop of its own and returns its address.
+func open(t *testing.T, o Handler, lim limits.Limits) (string, *bytes.Buffer) {
 	addr, err := standin.Free()
 	require.NoError(t, err)
 	l, err := loop.New()
