Control group: replicas may differ in the lengths of their leases; timings are checked

Cause: a leader with shorter leases than the one before it waited only for its own lengths, so it could pass on a place, and retire a version, while longer leases were still held. The flags had to be the same at all replicas, and nothing checked that, nor any timing: a renewal longer than the lease was taken. Change: BoundLeases replicates the longest leases that may be held. A leader has its own lengths in there before it grants, reckons with what it finds, and puts its own alone in place when all earlier leases have run out. Timing.Validate names what can't be used.

--- a/cmd/ferrycontrol/faults_test.go
+++ b/cmd/ferrycontrol/faults_test.go
@@ -35,7 +35,7 @@
 func TestKilledLeadersLoseNoCommittedVersion(t *testing.T) {
 	const kills = 5
 	t.Parallel()
-	g := newProcesses(t, "--settings-lease", "100ms", "--rejoin-wait", "1s") // all disks are intact
+	g := newProcesses(t, "--settings-lease", "100ms", "--renewal", "40ms", "--rejoin-wait", "1s") // all disks are intact
 	g.startAll()
 	leader := g.leader("")
 	seed := uint64(time.Now().UnixNano())
--- a/internal/controlgroup/command.go
+++ b/internal/controlgroup/command.go
@@ -38,10 +38,15 @@
 	Incarnation Incarnation
 }
 
+// BoundLeases records the longest leases that may be held from now on, for leaders to come. A leader grants none that are
+// longer, and proposes shorter ones only when all earlier leases have run out.
+type BoundLeases struct{ Lengths LeaseLengths }
+
 func (ProposeVersion) command() {}
 func (RetireVersion) command()  {}
 func (ClaimPlace) command()     {}
 func (ReleasePlace) command()   {}
+func (BoundLeases) command()    {}
 
 // commandKind is the first byte of a command in the log.
 type commandKind byte
@@ -51,6 +56,7 @@
 	commandRetire
 	commandClaim
 	commandRelease
+	commandBound
 )
 
 // ErrCommand is the cause of every error of [ParseCommand].
@@ -71,6 +77,9 @@
 	case ReleasePlace:
 		b = append(b, byte(commandRelease))
 		return appendProcess(b, c.Member, c.Incarnation)
+	case BoundLeases:
+		b = append(b, byte(commandBound))
+		return appendLengths(b, c.Lengths)
 	}
 	return b
 }
@@ -94,6 +103,8 @@
 		command, err = ClaimPlace{f.member, f.incarnation}, f.needProcess()
 	case commandRelease:
 		command, err = ReleasePlace{f.member, f.incarnation}, f.needProcess()
+	case commandBound:
+		command = BoundLeases{f.lengths()}
 	default:
 		err = fmt.Errorf("kind %d is not known", b[0])
 	}
--- a/internal/controlgroup/controlgroup.go
+++ b/internal/controlgroup/controlgroup.go
@@ -17,6 +17,8 @@
 package controlgroup
 
 import (
+	"fmt"
+	"math"
 	"time"
 
 	"ferryfront.example/ferryfront/internal/versions"
@@ -41,6 +43,27 @@
 // and one settings lease. Four renewals fall into a settings lease, so three may be lost.
 var DefaultTiming = Timing{Settings: 1500 * time.Millisecond, Share: time.Minute, Renewal: 350 * time.Millisecond, Drift: 0.01}
 
+// driftMost is the largest bound on drift that leaves a lease half of its length.
+const driftMost = 0.5
+
+// Validate tells which duration can't be used: a lease has to last for two renewals at least, so that one may be lost.
+func (t Timing) Validate() error {
+	least := time.Duration(float64(2*t.Renewal) / (1 - t.Drift))
+	switch {
+	case t.Drift < 0 || t.Drift > driftMost || math.IsNaN(t.Drift):
+		return fmt.Errorf("drift %v: need 0 to %v", t.Drift, driftMost)
+	case t.Renewal <= 0:
+		return fmt.Errorf("renewal %v: need more than 0", t.Renewal)
+	case t.Settings < least:
+		return fmt.Errorf("settings lease %v: need two renewals and the drift, %v", t.Settings, least)
+	case t.Share < t.Settings:
+		return fmt.Errorf("share lease %v: need at least the settings lease, %v", t.Share, t.Settings)
+	case t.Share > LeaseLengthMost || t.GroupLengths().Share > LeaseLengthMost:
+		return fmt.Errorf("share lease %v: need at most %v, the drift included", t.Share, LeaseLengthMost)
+	}
+	return nil
+}
+
 // Message is one frame between a member and a replica, or between a following replica and the leader.
 type Message interface{ message() }
 
--- a/internal/controlgroup/leader.go
+++ b/internal/controlgroup/leader.go
@@ -21,6 +21,7 @@
 	state   *State
 	term    uint64
 	start   time.Duration
+	unknown LeaseLengths // of leases that earlier leaders may have granted
 	leases  leaseTable
 	queued  map[process]Renew // the last renewal of each process that no batch has
 	waiting map[process]Renew // answered without a share, which follows as soon as the process holds its place
@@ -28,11 +29,12 @@
 }
 
 // NewLeader returns the decisions of a leader that begins now. The host calls it once a barrier in the log of its own
-// term is applied, so that the state has all that earlier leaders have replicated. All replicas need the same timing:
-// a leader with shorter leases than the one before would not wait long enough for those.
+// term is applied, so that the state has all that earlier leaders have replicated. Replicas may differ in their timing: a
+// leader reckons with the longest leases that the state says may be held, and counts its own in there before it grants.
 func NewLeader(timing Timing, state *State, term uint64, now time.Duration) *Leader {
 	return &Leader{
 		timing: timing, state: state, term: term, start: now,
+		unknown: state.LeaseBound().longest(timing.GroupLengths()),
 		leases:  newLeaseTable(),
 		queued:  map[process]Renew{},
 		waiting: map[process]Renew{},
@@ -95,10 +97,14 @@
 // Empty tells that there is nothing to answer, and so no check needed.
 func (b Batch) Empty() bool { return len(b.renewals) == 0 }
 
-// BeginVerify returns the renewals to answer, those received until now. The host calls it before it begins the check
+// BeginVerify returns the renewals to answer, those received until now; none before the lengths of this leader's leases are
+// replicated. The host calls it before it begins the check
 // of leadership: so each was received, and sent, while no later leader had been elected, and every lease granted for
 // them has ended by its member's clock before a later leader ceases to reckon with leases that it doesn't know.
 func (l *Leader) BeginVerify() Batch {
+	if !l.mayGrant() {
+		return Batch{}
+	}
 	for p, r := range l.waiting {
 		if l.mayShare(p) {
 			l.queued[p] = r
--- a/internal/controlgroup/leader_test.go
+++ b/internal/controlgroup/leader_test.go
@@ -25,6 +25,7 @@
 
 func newLeaderHarness(t *testing.T, commands ...Command) *leaderHarness {
 	h := &leaderHarness{t: t, state: NewState(), now: time.Hour}
+	require.NoError(t, h.state.Apply(BoundLeases{testTiming.GroupLengths()})) // of an earlier leader
 	for _, command := range commands {
 		require.NoError(t, h.state.Apply(command))
 	}
@@ -32,7 +33,12 @@
 	return h
 }
 
-func (h *leaderHarness) elect() { h.leader = NewLeader(testTiming, h.state, testTerm, h.now) }
+func (h *leaderHarness) elect() { h.electWith(testTiming) }
+
+// electWith elects a replica of another timing.
+func (h *leaderHarness) electWith(timing Timing) {
+	h.leader = NewLeader(timing, h.state, testTerm, h.now)
+}
 
 func (h *leaderHarness) pass(d time.Duration) { h.now += d }
 
@@ -239,6 +245,45 @@
 	require.Equal(t, []Command{ClaimPlace{1, 6}}, h.tick())
 }
 
+// The replicas' timings need not be the same, as while they are changed one replica after the other.
+func TestALeaderWithShorterLeasesReckonsWithLongerOnes(t *testing.T) {
+	h := newLeaderHarness(t, proposal("settings", testDoc(1)), proposal("settings", testDoc(2)), ClaimPlace{1, 5})
+	shorter := testTiming
+	shorter.Settings, shorter.Share = testTiming.Settings/2, testTiming.Share/2
+	h.electWith(shorter)
+	require.Equal(t, 1100*time.Millisecond, h.leader.Status(h.now).BlindUntil-h.now)
+	h.pass(1100*time.Millisecond - 1)
+	require.Empty(t, h.tick(), "nothing is retired while an earlier settings lease may be held")
+	h.pass(1)
+	require.Equal(t, []Command{RetireVersion{"settings", testDoc(1).Version}}, h.tick())
+
+	h.pass(11*time.Second - 1100*time.Millisecond - 1)
+	h.renew(1, 6, 2)
+	require.Empty(t, h.tick(), "nor is a place passed on while an earlier share lease may be")
+	h.electWith(shorter)
+	h.pass(11*time.Second - 1)
+	require.Empty(t, h.tick(), "nor by a leader after this one, which does not know what that had waited for")
+	h.pass(1)
+	require.Equal(t, []Command{BoundLeases{shorter.GroupLengths()}}, h.tick(), "from now on only its own count")
+	h.electWith(shorter)
+	require.Equal(t, 550*time.Millisecond, h.leader.Status(h.now).BlindUntil-h.now)
+}
+
+func TestNoLeaseIsGrantedBeforeItsLengthIsReplicated(t *testing.T) {
+	h := newLeaderHarness(t)
+	longer := testTiming
+	longer.Share = 2 * testTiming.Share
+	h.held = true
+	h.electWith(longer)
+	h.ask(1, 1)
+	require.Equal(t, []Command{BoundLeases{longer.GroupLengths()}, ClaimPlace{1, 1}}, h.tick())
+	require.Empty(t, h.answers())
+	h.apply()
+	answers := h.answers()
+	require.Len(t, answers, 1, "the renewal has waited")
+	require.Equal(t, 18*time.Second, answers[0].Share)
+}
+
 func TestAReleasedProcessGetsNothingOfALaterLeader(t *testing.T) {
 	h := newLeaderHarness(t, ClaimPlace{1, 5})
 	h.leader.Closed(Closed{1, 5}, h.now)
--- a/internal/controlgroup/leadercommands.go
+++ b/internal/controlgroup/leadercommands.go
@@ -29,10 +29,10 @@
 	}
 }
 
-// Tick returns the commands to replicate: versions to retire, places to release and to claim.
+// Tick returns the commands to replicate: the lengths of leases, versions to retire, places to release and to claim.
 func (l *Leader) Tick(now time.Duration) []Command {
 	l.forget(now)
-	var wanted []Command
+	wanted := l.boundLeases(now)
 	wanted = append(wanted, l.retirements(now)...)
 	wanted = append(wanted, l.releases()...)
 	wanted = append(wanted, l.claims(now)...)
@@ -72,7 +72,7 @@
 }
 
 // blindUntil is when the settings leases have run out that earlier leaders may have granted.
-func (l *Leader) blindUntil() time.Duration { return l.start + l.timing.groupLength(l.timing.Settings) }
+func (l *Leader) blindUntil() time.Duration { return l.start + l.unknown.Settings }
 
 // retirements returns those that are decided on and not applied yet.
 func (l *Leader) retirements(now time.Duration) []Command {
@@ -158,7 +158,7 @@
 	if !held {
 		return true
 	}
-	until := l.start + l.timing.groupLength(l.timing.Share)
+	until := l.start + l.unknown.Share
 	if entry, known := l.leases.find(process{member, last}); known {
 		if entry.closed {
 			return true
--- a/internal/controlgroup/property_test.go
+++ b/internal/controlgroup/property_test.go
@@ -158,6 +158,11 @@
 	}
 	s := newSimulation(t, 4, first...)
 	s.rejecting = rapid.Bool().Draw(t, "rejecting")
+	for _, replica := range s.replicas {
+		if rapid.Bool().Draw(t, "shorter leases") {
+			replica.timing.Settings, replica.timing.Share = simTiming.Settings*3/4, simTiming.Share/3
+		}
+	}
 	return s
 }
 
--- a/internal/controlgroup/simulation_replica_test.go
+++ b/internal/controlgroup/simulation_replica_test.go
@@ -69,6 +69,7 @@
 	s             *simulation
 	name          string
 	clock         simClock
+	timing        Timing
 	state         *State
 	applied       int
 	snapshot      []byte // durable, with what is applied by then
@@ -91,7 +92,7 @@
 
 func newSimReplica(s *simulation, name string) *simReplica {
 	state := NewState()
-	return &simReplica{s: s, name: name, clock: s.clock(), state: state, snapshot: state.Snapshot()}
+	return &simReplica{s: s, name: name, clock: s.clock(), timing: simTiming, state: state, snapshot: state.Snapshot()}
 }
 
 func (r *simReplica) isRunning(now time.Duration) bool { return now >= r.pausedUntil && !r.isGone() }
@@ -103,7 +104,7 @@
 func (r *simReplica) lead(term uint64) {
 	r.apply()
 	r.term, r.believes, r.checking = term, r, false
-	r.leader = NewLeader(simTiming, r.state, term, r.now())
+	r.leader = NewLeader(r.timing, r.state, term, r.now())
 	r.routes = map[process]*simRoute{}
 }
 
--- a/internal/controlgroup/snapshot.go
+++ b/internal/controlgroup/snapshot.go
@@ -18,6 +18,7 @@
 const (
 	fieldDocumentInForce protowire.Number = iota + 1 // a document's name and one version with its text; oldest first
 	fieldPlace
+	fieldLeaseBound // none: no lease was granted yet
 )
 
 // fieldReleased of a place is beside the fields of messages.
@@ -44,6 +45,10 @@
 		b = protowire.AppendTag(b, fieldPlace, protowire.BytesType)
 		b = protowire.AppendBytes(b, inner)
 	}
+	if s.bound != (LeaseLengths{}) {
+		b = protowire.AppendTag(b, fieldLeaseBound, protowire.BytesType)
+		b = protowire.AppendBytes(b, appendLengths(nil, s.bound))
+	}
 	return b
 }
 
@@ -89,6 +94,8 @@
 			return fmt.Errorf("member %d twice", f.member)
 		}
 		s.places[f.member] = place{f.incarnation, f.superseded}
+	case fieldLeaseBound:
+		return s.Apply(BoundLeases{f.lengths()})
 	}
 	return nil
 }
--- a/internal/controlgroup/state.go
+++ b/internal/controlgroup/state.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"ferryfront.example/ferryfront/internal/versions"
 )
@@ -41,6 +42,7 @@
 type State struct {
 	documents map[string][]versions.Doc // in force, oldest first; never empty
 	places    map[MemberID]place
+	bound     LeaseLengths
 }
 
 // NewState returns the state before the first command.
@@ -61,6 +63,9 @@
 	return last.incarnation, claimed && !last.released
 }
 
+// LeaseBound is the lengths of the longest leases that leaders so far may have granted.
+func (s *State) LeaseBound() LeaseLengths { return s.bound }
+
 // Check tells why a command would change nothing at present, without applying it.
 func (s *State) Check(c Command) error {
 	switch c := c.(type) {
@@ -72,6 +77,8 @@
 		return s.checkClaim(c)
 	case ReleasePlace:
 		return s.checkRelease(c)
+	case BoundLeases:
+		return checkBound(c)
 	}
 	return fmt.Errorf("%w: %T", ErrInvalid, c)
 }
@@ -98,6 +105,8 @@
 		s.places[c.Member] = place{incarnation: c.Incarnation}
 	case ReleasePlace:
 		s.places[c.Member] = place{incarnation: c.Incarnation, released: true}
+	case BoundLeases:
+		s.bound = c.Lengths
 	}
 	return nil
 }
@@ -185,3 +194,12 @@
 	}
 	return nil
 }
+
+func checkBound(c BoundLeases) error {
+	for _, length := range []time.Duration{c.Lengths.Settings, c.Lengths.Share} {
+		if length <= 0 || length > LeaseLengthMost {
+			return fmt.Errorf("%w: a lease of %v, need one above 0 and at most %v", ErrInvalid, length, LeaseLengthMost)
+		}
+	}
+	return nil
+}
--- a/internal/controlgroup/state_test.go
+++ b/internal/controlgroup/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -31,13 +32,15 @@
 	doc := testDoc(rapid.Uint64Range(1, 9).Draw(t, "version"))
 	member := MemberID(rapid.Uint32Range(0, 3).Draw(t, "member"))
 	incarnation := Incarnation(rapid.Uint64Range(1, 5).Draw(t, "incarnation"))
-	switch rapid.IntRange(0, 3).Draw(t, "command") {
+	switch rapid.IntRange(0, 4).Draw(t, "command") {
 	case 0:
 		return proposal(document, doc)
 	case 1:
 		return RetireVersion{document, doc.Version}
 	case 2:
 		return ClaimPlace{member, incarnation}
+	case 3:
+		return BoundLeases{LeaseLengths{time.Duration(incarnation) * time.Second, time.Duration(incarnation) * time.Minute}}
 	}
 	return ReleasePlace{member, incarnation}
 }
@@ -113,6 +116,8 @@
 		"retire no document": {RetireVersion{"drained", testDoc(5).Version}, ErrNotInForce},
 		"claim by nobody":    {ClaimPlace{1, 0}, ErrInvalid},
 		"release by nobody":  {ReleasePlace{1, 0}, ErrNotHolder},
+		"no lease length":    {BoundLeases{LeaseLengths{Share: time.Second}}, ErrInvalid},
+		"too long a lease":   {BoundLeases{LeaseLengths{time.Second, LeaseLengthMost + 1}}, ErrInvalid},
 	} {
 		before := s.Snapshot()
 		require.ErrorIs(t, s.Apply(test.command), test.err, name)
@@ -200,6 +205,7 @@
 func FuzzParseCommand(f *testing.F) {
 	for _, command := range []Command{
 		proposal("settings", testDoc(3)), RetireVersion{"settings", testDoc(3).Version}, ClaimPlace{1, 2}, ReleasePlace{1, 2},
+		BoundLeases{testTiming.GroupLengths()},
 	} {
 		f.Add(AppendCommand(nil, command))
 	}
--- a/internal/controlgroup/wire.go
+++ b/internal/controlgroup/wire.go
@@ -135,6 +135,11 @@
 	return appendNumber(b, fieldIncarnation, uint64(incarnation))
 }
 
+func appendLengths(b []byte, lengths LeaseLengths) []byte {
+	b = appendNumber(b, fieldSettings, uint64(lengths.Settings))
+	return appendNumber(b, fieldShare, uint64(lengths.Share))
+}
+
 func appendGrant(b []byte, m Grant) []byte {
 	b = appendProcess(b, m.Member, m.Incarnation)
 	b = appendNumber(b, fieldSequence, m.Sequence)
@@ -274,6 +279,8 @@
 	return f.versions[0]
 }
 
+func (f *fields) lengths() LeaseLengths { return LeaseLengths{f.settings, f.share} }
+
 func parseFields(b []byte) (fields, error) {
 	var f fields
 	err := wire.Walk(b, "", func(field protowire.Number, typ protowire.Type, b []byte) (int, error) {
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -61,6 +61,9 @@
 			seen[name] = true
 		}
 	}
+	if err := c.withDefaults().Timing.Validate(); err != nil {
+		return err
+	}
 	if c.Election.Lease > c.Election.Heartbeat {
 		return errors.New("the leader's lease is longer than the heartbeat timeout")
 	}
