--- a/internal/controlgroup/leaselengths.go
+++ b/internal/controlgroup/leaselengths.go
@@ -25,14 +25,14 @@
 // covers tells whether no lease of other lengths is longer.
 func (l LeaseLengths) covers(other LeaseLengths) bool { return l.longest(other) == l }
 
-// either is when a lease of either kind has run out.
-func (l LeaseLengths) either() time.Duration { return max(l.Settings, l.Share) }
+// longer is the length of the kind that lasts longer: after it no lease is left.
+func (l LeaseLengths) longer() time.Duration { return max(l.Settings, l.Share) }
 
 // boundLeases has the lengths replicated that a later leader must reckon with: before this one grants its first lease
 // those that it may grant, or earlier ones if they are longer; its own alone once no earlier lease can be held any more.
 func (l *Leader) boundLeases(now time.Duration) []Command {
 	wanted := l.unknown
-	if now >= l.start+l.unknown.either() {
+	if now >= l.start+l.unknown.longer() {
 		wanted = l.timing.GroupLengths()
 	}
 	if l.state.LeaseBound() == wanted {
