Control replicas, stand-ins: one reading of a connection's state

Cause: whether a connection was reset stood twice, as tcpState at the replica and as wasReset in the stand-in's relay. Change: tcpstate.WasReset, used by both; the ingress uses neither. Behaviour is as before. Measured: vet; tests of controlserver, TestAResetThatAWriteHasMetIsNoOrderlyEnd among them, and of standin pass.

--- a/internal/controlserver/connection.go
+++ b/internal/controlserver/connection.go
@@ -8,9 +8,8 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"ferryfront.example/ferryfront/internal/controlgroup"
+	"ferryfront.example/ferryfront/internal/net/tcpstate"
 )
 
 const (
@@ -188,30 +187,11 @@
 }
 
 // endedInOrder tells whether a connection on which reading ended with an error was closed by the other side in the orderly
-// way, and not reset. A reset is reported once only: where a write has got the report, reading ends as if in order. So the
-// state of the connection decides, which an orderly end leaves half open.
+// way, and not reset.
 func endedInOrder(conn net.Conn, err error) bool {
 	if !errors.Is(err, io.EOF) {
 		return false
 	}
 	tcp, ok := conn.(*net.TCPConn)
-	return !ok || tcpState(tcp) != tcpClosed
-}
-
-// tcpClosed is the kernel's TCP_CLOSE.
-const tcpClosed = 7
-
-// tcpState returns the kernel's state of a connection; tcpClosed if that can't be told.
-func tcpState(conn *net.TCPConn) uint8 {
-	state := uint8(tcpClosed)
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return state
-	}
-	_ = raw.Control(func(fd uintptr) { // on an error the state stays the closed one
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	})
-	return state
+	return !ok || !tcpstate.WasReset(tcp)
 }
--- a/internal/controlserver/connection_test.go
+++ b/internal/controlserver/connection_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/net/tcpstate"
 )
 
 // tcpPair returns both ends of a connection.
@@ -28,7 +30,7 @@
 	theirs, ours := tcpPair(t)
 	require.NoError(t, theirs.SetLinger(0))
 	require.NoError(t, theirs.Close())
-	require.Eventually(t, func() bool { return tcpState(ours) == tcpClosed }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return tcpstate.WasReset(ours) }, 10*time.Second, time.Millisecond)
 	_, err := ours.Write([]byte("grant"))
 	require.Error(t, err)
 	_, err = ours.Read(make([]byte, 1))
--- a/internal/standin/relays.go
+++ b/internal/standin/relays.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"golang.org/x/sys/unix"
+	"ferryfront.example/ferryfront/internal/net/tcpstate"
 )
 
 // Direction is that of bytes on a connection between an ingress and a replica of the control group.
@@ -183,7 +183,7 @@
 		if _, bad := to.Write(buf[:n]); bad != nil && err == nil {
 			return // its end comes the other way
 		}
-		if errors.Is(err, io.EOF) && !wasReset(from) {
+		if errors.Is(err, io.EOF) && !tcpstate.WasReset(from.(*net.TCPConn)) {
 			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
@@ -194,23 +194,6 @@
 	}
 }
 
-// wasReset tells whether the end of a connection that reads as an orderly one is a reset: that is reported once only, and
-// the other direction's write may have got the report.
-func wasReset(c net.Conn) bool {
-	const closed = 7 // TCP_CLOSE of the kernel: an orderly end leaves it half open
-	raw, err := c.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	state := uint8(closed)
-	_ = raw.Control(func(fd uintptr) { // on an error the state stays the closed one
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			state = info.State
-		}
-	})
-	return state == closed
-}
-
 func reset(c net.Conn) {
 	_ = c.(*net.TCPConn).SetLinger(0)
 	_ = c.Close()
