Configuration: one without a list of hosts is not written anew

Cause: since a configuration keeps its text without the list, each reading wrote the text anew, also where there was no list, as with every version of the settings that is checked. Change: only a text with the list is written anew, without it. Behaviour is as before. Measured: tests of config and daemon pass, TestOtherSettingsCostTheSameWithAnyListOfHosts among them.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -172,7 +172,9 @@
 	if _, err := admission.New(c.Settings, c.Seed); err != nil {
 		return none, err
 	}
-	doc.Del(knownField)
-	c.raw = doc.MarshalTo(nil)
+	if c.raw = raw; r.Has(knownField) {
+		doc.Del(knownField)
+		c.raw = doc.MarshalTo(nil)
+	}
 	return c, nil
 }
