Failing test: reloads in quick succession that move the counter end the process

Cause: counter.Client.expire hands its timer the slice c.old; the timer of an earlier move compacts the same backing array with slices.DeleteFunc, which clears its end, and the later timer meets a nil connection.

--- /dev/null
+++ b/cmd/ferryfront/reload_succession_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silentCounter is a counter that takes calls and answers none.
+func (w *world) silentCounter() string {
+	over := make(chan struct{})
+	addr := w.serve(func(http.ResponseWriter, *http.Request) { <-over })
+	w.t.Cleanup(func() { close(over) }) // before the server is closed, which waits for its handlers
+	return addr
+}
+
+// Configurations in quick succession move the counter while calls are out at each address that it leaves. What is left
+// of every one of them ends in its own time, and the process serves on.
+func TestReloadsInQuickSuccessionMoveTheCounter(t *testing.T) {
+	const (
+		moves = 4
+		apart = 350 * time.Millisecond // less than the time for which calls at an address that was left may be answered
+	)
+	w := newWorld(t).withDoor()
+	w.counter = func(http.ResponseWriter, *http.Request) { <-w.over }
+	w.start()
+	for range moves {
+		require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+		w.told["counter"] = w.silentCounter()
+		require.True(t, w.reload())
+		time.Sleep(apart) // the distance of the reloads is what is tried
+	}
+	ended := make(chan struct{})
+	go func() { _ = w.cmd.Wait(); close(ended) }()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-ended:
+			require.FailNow(t, "the process has ended", w.cmd.ProcessState.String())
+		default:
+		}
+		require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status)
+	}
+	require.NoError(t, syscall.Kill(w.cmd.Process.Pid, 0))
+}
