Counter: each connection that is left ends by a timer of its own; the crash after reloads

Cause: the timer of each move held the slice of all connections left so far, which the timer of an earlier move compacts in place; the later one met a nil connection and ended the process (counter.go, Client.expire). Change: a retired connection owns its expiry timer and takes itself off the list when it closes; no timer holds a list.

--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -29,11 +29,13 @@
 	addr  string
 	sink  Sink
 	conns []*conn
-	old   []*conn            // to where the counter was before; they take no new calls
-	turns map[string][]*call // calls not told, by name
-	heard time.Duration      // the last answer on any connection
-	lost  bool               // told to the operator...
-	told  time.Duration      // ...at this time
+	// retired are connections that still owe answers and take no new calls: to where the counter was before, or beyond
+	// the number that there is to be.
+	retired []*conn
+	turns   map[string][]*call // calls not told, by name
+	heard   time.Duration      // the last answer on any connection
+	lost    bool               // told to the operator...
+	told    time.Duration      // ...at this time
 
 	released func() // told when no connection is left, nil unless they are being given up
 }
@@ -61,32 +63,20 @@
 	}
 	c.addr = addr
 	for _, k := range c.conns {
-		c.leave(k)
+		c.retire(k)
 	}
 	c.fresh()
-	c.expire()
 }
 
-// leave takes a connection out of use: it ends with the calls that are out on it.
-func (c *Client) leave(k *conn) {
-	if len(k.calls) > 0 {
-		c.old = append(c.old, k)
-	} else if k.src != nil {
+// retire takes a connection out of use: it ends with the calls that are out on it, after CounterMove at the latest. The
+// timer is the connection's own, so that however many moves follow each other, none ends what another has retired.
+func (c *Client) retire(k *conn) {
+	if len(k.calls) == 0 {
 		k.close()
+		return
 	}
-}
-
-// expire bounds the time of those that were taken out of use.
-func (c *Client) expire() {
-	leaving := c.old
-	c.loop.After(c.lim.CounterMove, func() {
-		for _, k := range leaving {
-			if k.src != nil {
-				k.fail("the counter has moved")
-			}
-		}
-		c.old = slices.DeleteFunc(c.old, func(k *conn) bool { return k.src == nil })
-	})
+	c.retired = append(c.retired, k)
+	k.expiry = c.loop.After(c.lim.CounterMove, func() { k.fail("the counter has moved") })
 }
 
 // SetSink names who is told of answers.
@@ -104,7 +94,7 @@
 func (c *Client) sweep() {
 	c.loop.After(sweepEvery, c.sweep)
 	now := c.loop.Now()
-	for _, k := range c.conns { // those of old have an end set
+	for _, k := range c.conns { // the retired ones have an end set
 		switch {
 		case k.src == nil:
 		case len(k.calls) == 0 && now-k.heard > c.lim.CounterIdle:
@@ -171,6 +161,7 @@
 	calls         []*call
 	heard         time.Duration
 	dialing       *loop.Timer
+	expiry        *loop.Timer // once it is retired
 	backoff       time.Duration
 	notBefore     time.Duration
 }
@@ -363,6 +354,10 @@
 
 func (k *conn) close() {
 	k.dialing.Stop()
+	k.expiry.Stop()
 	k.src.Close()
 	k.src, k.calls, k.out = nil, nil, nil
+	if i := slices.Index(k.c.retired, k); i >= 0 {
+		k.c.retired = slices.Delete(k.c.retired, i, i+1)
+	}
 }
--- a/internal/net/counter/counter_test.go
+++ b/internal/net/counter/counter_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -227,3 +228,39 @@
 	require.True(t, spoilt.Load())
 	require.Less(t, d.l.Now()-began, c.lim.CounterSilence, "given up before its silence ran out")
 }
+
+// Moves and changes of the number of connections in quick succession, each with calls out: every connection that is left
+// ends in its own time, with the calls that are out on it, and nothing is left of any.
+func TestConnectionsThatAreLeftInQuickSuccession(t *testing.T) {
+	hold := make(chan struct{})
+	t.Cleanup(func() { close(hold) })
+	silent := func(conn net.Conn) {
+		defer conn.Close()
+		<-hold
+	}
+	d, c := setUp(t, silent)
+	c.lim.CounterMove = 60 * time.Millisecond
+	const moves = 6
+	moved := 0
+	var move func()
+	move = func() {
+		c.Add(fmt.Sprint("n", moved), 1, time.Second)
+		if moved++; moved%3 == 0 {
+			c.Resize(1 + moved)
+		} else {
+			c.Move(nettest.Serve(t, silent))
+		}
+		if moved < moves {
+			d.l.After(15*time.Millisecond, move)
+		}
+	}
+	d.l.After(0, move)
+	d.each = func() {
+		if moved == moves && len(d.got) == moves && len(c.retired) == 0 {
+			d.l.Stop()
+		}
+	}
+	d.l.After(5*time.Second, func() { t.Error("something is left"); d.l.Stop() })
+	require.NoError(t, d.l.Run(d))
+	require.Equal(t, slices.Repeat([]admission.Outcome{admission.TimedOut}, moves), outcomes(d.got))
+}
--- a/internal/net/counter/handover.go
+++ b/internal/net/counter/handover.go
@@ -1,5 +1,7 @@
 package counter
 
+import "slices"
+
 // Release closes every connection as soon as it owes no answer, and tells when none is left: the counter
 // holds only so many from one address, and another process of this ingress wants them. No call may be added
 // from then on, until Regain.
@@ -16,7 +18,7 @@
 		return
 	}
 	left := 0
-	for _, k := range append(c.conns[:len(c.conns):len(c.conns)], c.old...) {
+	for _, k := range slices.Concat(c.conns, c.retired) { // a copy: what is closed leaves the list
 		switch {
 		case k.src == nil:
 		case len(k.calls) == 0:
@@ -47,7 +49,6 @@
 		c.conns[i] = &conn{c: c}
 	}
 	for _, k := range was[copied:] {
-		c.leave(k)
+		c.retire(k)
 	}
-	c.expire()
 }
