System calls that fail for a moment, a process that stood still, a wall clock that was stepped

Cause: read for the incident's class, work that goes by what was true when it was set up. The time told to a host was that of the attempt's choice, not of its writing; a request's time ran from when it was parsed, not from its last byte; a failed accept closed connections of ours, or at a planned end reset those that waited; a connection that could not be begun for want of something on this machine ejected its host; starts of hosts were compared as wall-clock times; a change of a plan's window let totals show a ceiling's part once more.

--- a/admission/follow.go
+++ b/admission/follow.go
@@ -49,6 +49,7 @@
 	}
 	was := g.s
 	g.use(s)
+	g.unsettle(was.Plans)
 	fleet := was.Gateways != s.Gateways || was.Me != s.Me
 	for _, c := range g.customers {
 		old := *c.plan
@@ -59,7 +60,7 @@
 		c.dealt = false // its parts are dealt anew with its next request
 		c.level = min(c.level, c.plan.Burst)
 		if was := c.rate; c.plan.Rate > 0 { // windows of another length begin anew
-			c.rate = newLedger("q"+c.key()+".", seconds(c.plan.Burst/c.plan.Rate), spread(c.id))
+			c.rate = newLedger("q"+c.key()+".", c.plan.window(), spread(c.id))
 			c.rate.put(was.state())
 		}
 	}
@@ -68,6 +69,23 @@
 	}
 }
 
+// unsettle notes for which plans the counter's windows have another length now. Those that were begun under the former
+// length go on beside the new ones, so for as long as either lasts no total shows that a request is under its ceiling:
+// settings that follow each other quickly would else let in what a window may show once for each.
+func (g *Gateway) unsettle(was []Plan) {
+	for i, before := range was {
+		now := &g.s.Plans[i]
+		if now.Rate <= 0 || before.Rate == now.Rate && before.Burst == now.Burst {
+			continue
+		}
+		longest := now.window()
+		if before.Rate > 0 {
+			longest = max(longest, before.window())
+		}
+		g.settled[i] = max(g.settled[i], g.now+longest)
+	}
+}
+
 // use has the gateway work with settings, and makes room for what is known of each class and plan.
 func (g *Gateway) use(s Settings) {
 	g.s = s
@@ -75,7 +93,7 @@
 		g.stats, g.mix = append(g.stats, estimate.Work{}), append(g.mix, 1)
 	}
 	for len(g.press) < len(s.Plans) {
-		g.press = append(g.press, evidence{})
+		g.press, g.settled = append(g.press, evidence{}), append(g.settled, 0)
 	}
 	g.thin, g.shed = estimate.Powers(s.Plans, Plan.stake), estimate.Powers(s.Classes, func(c Class) float64 {
 		if c.Gone {
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -41,7 +41,7 @@
 			levelAt: g.now, hardAt: g.began}
 		key, phase := c.key(), spread(id)
 		if plan.Rate > 0 {
-			c.rate = newLedger("q"+key+".", seconds(plan.Burst/plan.Rate), phase)
+			c.rate = newLedger("q"+key+".", plan.window(), phase)
 		}
 		c.gauge = newLedger("o"+key+".", gaugeSpan, phase)
 		c.demand = newLedger("d"+key+".", gaugeSpan, phase)
@@ -211,6 +211,9 @@
 	return urgentLeast + urgentX*math.Min(0.5, (c.rate.fold+c.taken)/math.Max(1, c.level))
 }
 
+// window is how long one of the counter's windows lasts: in it the rate fills the store once.
+func (p Plan) window() time.Duration { return seconds(p.Burst / p.Rate) }
+
 // stake is what a wrong answer costs on a plan, over the worth of a request.
 func (p Plan) stake() float64 { return p.Price * (1 + p.OverCost - p.OverWorth) }
 
@@ -273,7 +276,8 @@
 		r.drawn = k.own
 		// Own stands for others at a sparse door. At a joint ceiling totals hold what was refused, too.
 		r.over = r.over || c.level+k.own < r.units && (c.shows == 0 || total > c.plan.Burst)
-		r.shown = total <= c.shows && total >= k.own // less, and the counter has lost its memory
+		r.shown = total <= c.shows && total >= k.own && // less, and the counter has lost its memory
+			g.now >= g.settled[c.index]
 	} else if l == &c.gauge {
 		over := total-k.own+1 > float64(c.plan.AtOnce)
 		r.over = r.over || over
--- a/admission/state.go
+++ b/admission/state.go
@@ -50,4 +50,5 @@
 	thin    []float64       // of each plan: the power of askShare that asks
 	shed    []float64       // of each class: the power of admit that is admitted
 	press   []evidence      // of each plan's customers: what all doors ask, over what fits
+	settled []time.Duration // from when on the counter's windows of each plan are of one length, see unsettle
 }
--- a/admission/util.go
+++ b/admission/util.go
@@ -98,7 +98,7 @@
 		s := g.servers[e.Name]
 		if s == nil {
 			s = g.insert(e)
-		} else if e.Boot > s.Boot { // restarted within its id
+		} else if e.Boot != s.Boot && e.Boot != 0 { // restarted within its id, also where its clock was set back
 			s.coldAt, s.resp, s.bad, s.broken, s.ejected = e.Boot, 1, 0, 0, 0
 		}
 		s.ServerEntry = e
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -282,9 +282,7 @@
 		c.handle(ev)
 	}
 	clear(events)
-	c.turning = true // what is answered now may bring the next request of its connection
 	c.Do(c.actions)
-	c.turning = false
 	if len(c.events) > 0 { // carrying out has brought news
 		return c.now
 	}
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -100,11 +100,14 @@
 // theirIDs are left to the predecessor, whose probes take ids, too.
 const theirIDs = 1 << 20
 
-// Do carries out actions that the module gave outside a turn.
+// Do carries out actions that the module gave. The module reuses the slice with its next event, so it is given none
+// before all are carried out, whatever that brings about: what is answered may bring the next request of its connection.
 func (c *Core) Do(actions []admission.Action) {
+	c.turning = true
 	for _, a := range actions {
 		c.do(a)
 	}
+	c.turning = false
 }
 
 // Theirs tells how many of the predecessor's streams are not over.
--- a/internal/core/open.go
+++ b/internal/core/open.go
@@ -57,6 +57,9 @@
 // Taken tells how many of the open streams' requests have wholly come.
 func (c *Core) Taken() int { return c.open - c.coming }
 
+// UseCounter has calls carried out by a counter from now on.
+func (c *Core) UseCounter(counter Counter) { c.counter = counter }
+
 // Follow goes on under other settings, from the next event on. Streams that are open keep what they came with.
 func (c *Core) Follow(now time.Duration, s admission.Settings) {
 	c.Tick(now)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,7 +130,6 @@
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
 	draining  bool
-	drained   bool // no new connections either
 	leaves    bool // the planned end is for good
 	leaving   bool // nothing is open any more
 	fault     error
@@ -241,14 +240,11 @@
 		}
 		parts.Observer = d.telemetry
 	}
-	if cfg.Settings.HasCounter {
-		d.counter = counter.New(l, cfg.Limits, d.log, cfg.Counter)
-		parts.Counter = d.counter
-	}
 	d.core = core.New(parts)
 	d.hosts.SetSink(d.core)
-	if d.counter != nil {
-		d.counter.SetSink(d.core)
+	if cfg.Settings.HasCounter {
+		d.openCounter(cfg.Counter)
+		d.core.UseCounter(d.counter)
 	}
 	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.hosts, cfg.Known, cfg.Seed)
 	d.watcher.Drain(cfg.Drained)
@@ -261,6 +257,12 @@
 	return nil
 }
 
+// openCounter makes the client of the shared counter.
+func (d *Daemon) openCounter(addr string) {
+	d.counter = counter.New(d.loop, d.cfg.Limits, d.log, addr)
+	d.counter.SetSink(d.core)
+}
+
 // secondFront is the front that a file describes, beside the platform's.
 func (d *Daemon) secondFront(file openapi.File, table *routes.Table, stamp openapi.Stamp) opening {
 	f := openapi.New(d.core, d.cfg.Settings, file, table, d.watcher.Known, d.log)
@@ -335,7 +337,7 @@
 	}
 	next := d.core.Turn(now)
 	d.pred.turn(now)
-	if d.drained && d.core.Open() == 0 && d.server.Connections() == 0 && !d.leaving {
+	if d.server.Closed() && d.core.Open() == 0 && d.server.Connections() == 0 && !d.leaving {
 		d.leaving = true
 		d.log.Info("drained")
 		d.sayLeave(func() { d.giveUpControlGroup(d.loop.Stop) })
@@ -353,10 +355,7 @@
 	d.o.Notify("STOPPING=1")
 	d.log.Info("draining", "streams", d.core.Open(), "connections", d.server.Connections())
 	d.server.Drain()
-	d.loop.After(d.cfg.Limits.DrainAccept, func() {
-		d.server.CloseListeners()
-		d.drained = true
-	})
+	d.loop.After(d.cfg.Limits.DrainAccept, d.server.CloseListeners)
 	d.endInTime()
 }
 
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -75,7 +75,11 @@
 		d.telemetry.Follow(to.Settings)
 	}
 	d.watcher.Move(to.Discovery)
-	if d.counter != nil {
+	switch {
+	case d.counter != nil:
 		d.counter.Move(to.Counter)
+	case to.Settings.HasCounter: // there was none before
+		d.openCounter(to.Counter)
+		d.core.UseCounter(d.counter)
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -79,6 +79,9 @@
 	req := core.Request{RequestArrived: a, Key: r.Headers.Get("Request-Id"), Order: r.Headers.Get("Idempotency-Key"),
 		Owner: o, Open: r.Open}
 	req.RequestArrived.Open = r.Open
+	if !r.Open { // else its time has not begun
+		req.ExpiresIn = max(0, a.ExpiresIn-c.Waited())
+	}
 	m := Message(r)
 	m.Once = a.Write && req.Order == ""
 	if s.Observed() {
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -221,7 +221,9 @@
 	}
 	fd, err := loop.Dial(k.c.addr)
 	if err == nil {
-		k.src, err = k.c.loop.Watch(fd, loop.Out|loop.Hangup, k)
+		if k.src, err = k.c.loop.Watch(fd, loop.Out|loop.Hangup, k); err != nil {
+			loop.CloseFD(fd)
+		}
 	}
 	if err != nil {
 		k.lost(err.Error())
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -22,10 +22,12 @@
 	"ferryfront.example/ferryfront/internal/settings"
 )
 
-// Entry is an upstream host of the list, with its address.
+// Entry is an upstream host of the list, with its address. Its Boot is a time of the loop's clock once the watcher has it,
+// Started what discovery said, a time of the wall clock. 0: long ago.
 type Entry struct {
 	admission.ServerEntry
-	Addr string
+	Addr    string
+	Started time.Duration
 }
 
 // List is one message of discovery.
@@ -52,9 +54,10 @@
 		if math.Abs(started) > 1e13 {
 			started = 0
 		}
-		list.Entries = append(list.Entries, Entry{Addr: e.Text("addr"), ServerEntry: admission.ServerEntry{
+		start := time.Duration(started*1e3) * time.Microsecond
+		list.Entries = append(list.Entries, Entry{Addr: e.Text("addr"), Started: start, ServerEntry: admission.ServerEntry{
 			Name: e.Text("id"), Zone: e.Text("zone"), Kind: e.Text("kind"), Cell: e.Int("cell"), State: state,
-			Size: e.Float("weight"), Boot: time.Duration(started*1e3) * time.Microsecond}})
+			Size: e.Float("weight"), Boot: start}})
 	}
 	return list, r.Err()
 }
@@ -187,7 +190,9 @@
 		news.Kind = admission.ListFull
 	}
 	named := map[string]bool{}
-	for _, e := range list.Entries {
+	for i := range list.Entries {
+		e := &list.Entries[i]
+		e.Boot = w.boot(*e)
 		news.Servers = append(news.Servers, w.held(e.ServerEntry))
 		named[e.Name] = true
 	}
@@ -223,11 +228,13 @@
 	now := w.loop.Now()
 	x := &watch{w: w, parser: http1.NewResponseParser(w.lim.HeadBytes, w.lim.ClusterBytes, 0), since: now, sign: now}
 	w.next = nil
-	fd, err := loop.Dial(w.addr)
-	if err == nil {
-		x.src, err = w.loop.Watch(fd, loop.Out|loop.Hangup, x)
-	}
-	if err != nil {
+	err := x.open()
+	switch {
+	case loop.OutOfResources(err): // of this machine: discovery was not asked, and is not spared by waiting
+		w.tell(err.Error())
+		w.again = w.loop.After(w.lim.BackoffFirst, w.dial)
+		return
+	case err != nil:
 		w.retry(err.Error(), now)
 		return
 	}
@@ -241,6 +248,18 @@
 	w.next = x
 }
 
+// open begins the watch's connection.
+func (x *watch) open() error {
+	fd, err := loop.Dial(x.w.addr)
+	if err != nil {
+		return err
+	}
+	if x.src, err = x.w.loop.Watch(fd, loop.Out|loop.Hangup, x); err != nil {
+		loop.CloseFD(fd)
+	}
+	return err
+}
+
 // retry opens a watch after a while, longer with each failure in a row, at a random instant of that while.
 // Discovery is one service for all ingresses: asked by all of them again and again it answers none in time,
 // and none of them ever hears the list. However often that failed, the while ends within ClusterApart of the last
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -32,6 +32,7 @@
 	idle      list // connections between requests, longest idle first
 	leaving   list // those whose answer is all that is left, the oldest first
 	paused    bool // listeners are not watched: no descriptors
+	shut      bool // a connection could not be accepted since this was last set to false
 	draining  bool
 	closed    bool          // no new connections
 	toldAt    time.Duration // when the operator was last told of a pause
@@ -97,20 +98,16 @@
 		switch {
 		case errors.Is(err, loop.ErrAgain):
 			return
-		case loop.OutOfDescriptors(err):
-			if !s.makeRoom() {
-				s.pause(err.Error())
-				return
-			}
+		case loop.OutOfDescriptors(err) && s.makeRoom(): // they are this process's: one less helps
 			continue
-		case err != nil:
-			s.log.Warn("accept failed", "error", err)
+		case err != nil: // the machine is short of something: the connections that there are stay
+			s.pause(err.Error())
 			return
 		}
 		c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes), since: s.loop.Now(),
 			opened: s.loop.Now(), moved: s.loop.Now()}
 		if err := s.enter(c, fd); err != nil {
-			s.log.Warn("accept failed", "error", err)
+			s.pause(err.Error())
 			return
 		}
 	}
@@ -147,10 +144,8 @@
 			if now-c.since > s.lim.RequestTime(c.parser.Body()) {
 				c.malformed(408, "request not whole in time")
 			}
-		case !c.served && now-c.opened > s.lim.FirstTime:
-			c.finish()
-		case now-c.since > s.lim.DownstreamIdle:
-			c.finish()
+		case !c.served && now-c.opened > s.lim.FirstTime, now-c.since > s.lim.DownstreamIdle:
+			c.finishUnlessAsked()
 		}
 	}
 }
@@ -177,6 +172,8 @@
 	since      time.Duration // idle, or ending; of a request that has begun, its first byte
 	opened     time.Duration
 	moved      time.Duration // bytes last came
+	arrivals   arrivals      // of what is not parsed yet
+	came       time.Duration // when the last byte of the present request did
 	served     bool          // it has had an answer that is no complaint
 	dropped    int           // bytes read after the end
 	dumped     int           // of what was sent too far ahead
@@ -196,6 +193,9 @@
 // Now is the time of this turn.
 func (c *Conn) Now() time.Duration { return c.s.loop.Now() }
 
+// Waited is how long ago the present request came: its client's patience began then.
+func (c *Conn) Waited() time.Duration { return max(0, c.Now()-c.came) }
+
 func (c *Conn) setIdle() {
 	c.since = c.s.loop.Now()
 	c.moved = c.since
@@ -227,6 +227,8 @@
 	switch {
 	case events&loop.Broken != 0: // whatever of it is not read yet
 		c.gone()
+	case events&loop.Ended != 0 && c.stuck():
+		c.left()
 	case c.s.held && !c.busy: // what has come is read by whoever goes on with the connection
 	case events&(loop.In|loop.Hangup) != 0:
 		c.read()
@@ -259,6 +261,7 @@
 		}
 		if d < n && !c.tooMuch(n-d) {
 			c.parser.Feed(buf[d:n])
+			c.arrivals.came(n-d, c.moved-c.s.loop.Late())
 		}
 	}
 	c.upload()
@@ -288,6 +291,7 @@
 			}
 			break
 		}
+		c.came = c.arrivals.of(c.parser.Buffered(), c.Now())
 		c.busy, c.head, c.old = true, req.Method == "HEAD", req.Old
 		c.last = c.last || req.Close
 		c.unlist()
@@ -325,8 +329,8 @@
 	case c.lingering:
 		events |= loop.In
 	case c.up != nil:
-		if events = 0; c.up.pipe.Room() > 0 { // else its end is learnt of when there is room again
-			events = loop.In | loop.Hangup
+		if events = loop.Hangup; c.up.pipe.Room() > 0 { // else only its end is of use now
+			events |= loop.In
 		}
 	case c.dumped > c.s.lim.LingerBytes:
 	case c.busy, c.parser.Buffered() <= c.most():
--- a/internal/net/downstream/end.go
+++ b/internal/net/downstream/end.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math"
+	"time"
 
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
@@ -47,14 +48,31 @@
 	}
 }
 
-// CloseListeners takes what still waits to be accepted, then takes no more, and ends idle connections.
-func (s *Server) CloseListeners() {
+// closeRetries and closeEvery are how often and how far apart the last connections are tried to be accepted while the
+// machine is short of something. Closed before, the listener would reset them with the requests that they have sent.
+const (
+	closeRetries = 25
+	closeEvery   = 20 * time.Millisecond
+)
+
+// CloseListeners takes what still waits to be accepted, then takes no more, and ends idle connections. See Closed.
+func (s *Server) CloseListeners() { s.closeListeners(closeRetries) }
+
+// Closed tells whether no new connections are taken any more.
+func (s *Server) Closed() bool { return s.closed }
+
+func (s *Server) closeListeners(retries int) {
 	if s.closed {
 		return
 	}
 	s.acceptAll()
 	s.endIdle()
+	s.shut = false
 	s.acceptAll() // where all places were taken, those that end here make room for whoever still waits
+	if s.shut && retries > 0 {
+		s.loop.After(closeEvery, func() { s.closeListeners(retries - 1) })
+		return
+	}
 	s.closed = true
 	for _, ln := range s.listeners {
 		// Another process of this ingress may hold the socket, too. Closed here alone, it would stay in our epoll
@@ -68,16 +86,22 @@
 // endIdle ends the connections on which nothing has come.
 func (s *Server) endIdle() {
 	for c := range s.conns {
-		if !c.busy && !c.lingering {
-			c.read() // a request that has come by now is answered
-		}
-		if !c.busy && !c.lingering && !c.parser.Begun() {
-			c.finish()
-		}
+		c.finishUnlessAsked()
+	}
+}
+
+// finishUnlessAsked ends a connection between requests, unless one has come that was not read yet: that is answered.
+func (c *Conn) finishUnlessAsked() {
+	if c.busy || c.lingering {
+		return
+	}
+	c.read()
+	if !c.busy && !c.lingering && !c.parser.Begun() {
+		c.finish()
 	}
 }
 
-// acceptAll takes all that waits and there is room for.
+// acceptAll takes all that waits and there is room for. Where one can't be accepted, it sets shut.
 func (s *Server) acceptAll() {
 	for _, ln := range s.listeners {
 		ln.accept(math.MaxInt)
--- a/internal/net/downstream/flow.go
+++ b/internal/net/downstream/flow.go
@@ -59,6 +59,17 @@
 	}
 }
 
+// stuck tells whether more of a body has come than there is room for, so that its client's end is not read for long.
+func (c *Conn) stuck() bool { return c.up != nil && c.up.pipe.Room() == 0 }
+
+// left: the client has ended its side behind more of a body than there is room for. It is gone from now on, not once all of
+// that has been read; what has come is read and dropped, since to close on it would reset the connection.
+func (c *Conn) left() {
+	c.cut()
+	c.busy, c.unread = false, true
+	c.finish()
+}
+
 // noUpload: the present request has no more to come.
 func (c *Conn) noUpload() {
 	c.up = nil
--- a/internal/net/downstream/room.go
+++ b/internal/net/downstream/room.go
@@ -13,12 +13,36 @@
 // longer than it was; one that had an answer goes only while most places are held by such as had one: the usual
 // clients' are new ones soon, and the next wait until there is room. A server may close any of these.
 func (s *Server) makeRoom() bool {
-	now := s.loop.Now()
-	c, longest := s.leaving.first, time.Duration(0)
-	if c != nil {
+	if c := s.leaving.first; c != nil {
 		c.drop()
 		return true
 	}
+	for range roomTries {
+		c := s.leastWorth()
+		if c == nil {
+			return false
+		}
+		c.read() // what it has asked meanwhile is answered
+		if c.src.FD() < 0 {
+			return true
+		}
+		if c.in != nil && c.moved < s.loop.Now() {
+			c.finish()
+			c.drop()
+			return true
+		}
+	}
+	return false
+}
+
+// roomTries is how many connections may turn out not to be silent before the search for one gives up.
+const roomTries = 8
+
+// leastWorth is the connection to be closed first among those on which nothing is owed, nil: none may be.
+func (s *Server) leastWorth() *Conn {
+	now := s.loop.Now()
+	var c *Conn
+	longest := time.Duration(0)
 	look := func(l *list, weight time.Duration) {
 		if f := l.first; f != nil && now-f.moved > s.lim.FreshTime && weight*(now-f.moved) > longest {
 			c, longest = f, weight*(now-f.moved)
@@ -29,12 +53,7 @@
 	if s.fresh.n+s.begun.n <= s.lim.Downstream/2 {
 		look(&s.idle, hadAnswer)
 	}
-	if c == nil {
-		return false
-	}
-	c.finish()
-	c.drop()
-	return true
+	return c
 }
 
 // How many times its silence counts of a connection that has never shown a byte, and of one that owes us nothing;
@@ -46,6 +65,7 @@
 
 // pause leaves new connections in the kernel's queue until one of the present ones closes.
 func (s *Server) pause(why string) {
+	s.shut = true
 	if s.paused {
 		return
 	}
--- a/internal/net/loop/datagram.go
+++ b/internal/net/loop/datagram.go
@@ -7,13 +7,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// ListenDatagrams opens a socket for datagrams at an address.
+// ListenDatagrams opens a socket for datagrams at an address. Where the machine is short of something it tries again for
+// some seconds.
 func ListenDatagrams(addr string) (int, error) {
+	return retryListen(func() (int, error) { return listenDatagrams(addr) })
+}
+
+func listenDatagrams(addr string) (int, error) {
 	sa, family, err := address(addr)
 	if err != nil {
 		return -1, err
 	}
-	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := system.socket(family, unix.SOCK_DGRAM)
 	if err != nil {
 		return -1, fmt.Errorf("datagrams at %s: %w", addr, err)
 	}
@@ -26,7 +31,7 @@
 // Receive reads one datagram; ErrAgain when there is none. Of one longer than b the rest is dropped.
 func Receive(fd int, b []byte) (int, error) {
 	for {
-		n, _, err := unix.Recvfrom(fd, b, 0)
+		n, err := system.receiveFrom(fd, b)
 		if !errors.Is(err, unix.EINTR) {
 			return n, err
 		}
@@ -43,4 +48,11 @@
 }
 
 // SendTo sends one datagram. One that there is no room for is lost, as any may be.
-func SendTo(fd int, b []byte, to To) error { return unix.Sendto(fd, b, 0, to.sa) }
+func SendTo(fd int, b []byte, to To) error {
+	for {
+		err := system.sendTo(fd, b, to.sa)
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
+}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -17,7 +17,8 @@
 const (
 	In     = unix.EPOLLIN
 	Out    = unix.EPOLLOUT
-	Hangup = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+	Ended  = unix.EPOLLRDHUP // the peer has ended its sending; what it sent before may still wait to be read
+	Hangup = Ended | unix.EPOLLHUP | unix.EPOLLERR
 	Broken = unix.EPOLLHUP | unix.EPOLLERR // told whatever is watched for
 )
 
@@ -31,9 +32,18 @@
 	gen     int32
 	handler Handler
 	events  uint32
-	first   bool
+	order   order
 }
 
+// order is when in a turn a descriptor is served.
+type order int
+
+const (
+	usual order = iota
+	first
+	last
+)
+
 // Timer is a function called once, unless stopped.
 type Timer struct{ fn func() }
 
@@ -51,7 +61,10 @@
 	gen         int32
 	ready       []unix.EpollEvent
 	timers      timerq.Queue[*Timer]
-	firsts      bool // some source is to be served first
+	firsts      bool          // some source is to be served first
+	lasts       bool          // some source of this turn is to be served last
+	polled      time.Duration // when the last turn's descriptors were gathered
+	late        time.Duration // see Late
 	turnStart   func(now time.Duration)
 	posted      chan func()
 	buf         []byte
@@ -63,6 +76,17 @@
 	closed bool
 }
 
+// readyMost is how many descriptors are gathered in a turn: about all that a process may hold. After a time in which it
+// stood still each may have something, and what is to be known first must not be left for the turn after.
+const readyMost = 1024
+
+// waitMost bounds the wait for descriptors. A wait that lasts visibly longer was one in which the process stood still.
+const waitMost = 100 * time.Millisecond
+
+// stalledAfter is the time between two gatherings from which on the process is taken to have stood still. With waitMost,
+// what is not noticed is within the slack of deadlines (0.15 s).
+const stalledAfter = waitMost + 25*time.Millisecond
+
 // New opens a loop.
 func New() (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -73,12 +97,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("eventfd: %w", errors.Join(err, unix.Close(epoll)))
 	}
-	l := &Loop{epoll: epoll, wake: wake, ready: make([]unix.EpollEvent, 256), posted: make(chan func(), 64),
+	l := &Loop{epoll: epoll, wake: wake, ready: make([]unix.EpollEvent, readyMost), posted: make(chan func(), 64),
 		buf: make([]byte, 64<<10), start: time.Now()}
 	// All machines cut the counter's windows from the same time: the wall clock at the start, from
 	// then on the monotonic one, so that no step of the wall clock is ever seen.
-	l.base = time.Duration(l.start.UnixNano())
+	l.base = time.Duration(system.wallClock().UnixNano())
 	l.now = l.base.Truncate(time.Microsecond)
+	l.polled = l.now
 	if _, err := l.Watch(wake, In, wakeUp{l}); err != nil {
 		return nil, err
 	}
@@ -96,19 +121,31 @@
 // Now is the time of this turn: whole microseconds since the Unix epoch.
 func (l *Loop) Now() time.Duration { return l.now }
 
-func (l *Loop) tick() {
-	l.now = max(l.now, (l.base + time.Since(l.start)).Truncate(time.Microsecond))
+func (l *Loop) tick() { l.now = l.clock() }
+
+// clock reads the clock anew.
+func (l *Loop) clock() time.Duration {
+	return max(l.now, (l.base + time.Since(l.start)).Truncate(time.Microsecond))
 }
 
+// Late is how long what is read in this turn may have waited to be read: 0 unless the process stood still, as when it was
+// stopped and continued. The time that a peer gives for an answer began when it sent its request.
+func (l *Loop) Late() time.Duration { return l.late }
+
+// Stalled tells whether the process stood still within this turn: what was found at its beginning may not be so any more,
+// and nothing should be begun that rests on it.
+func (l *Loop) Stalled() bool { return l.clock()-l.now > stalledAfter/2 }
+
 // Offset is how far the loop's clock is from the wall clock, which may have been set since the start.
 func (l *Loop) Offset() time.Duration {
-	return l.base + time.Since(l.start) - time.Duration(time.Now().UnixNano())
+	return l.base + time.Since(l.start) - time.Duration(system.wallClock().UnixNano())
 }
 
 // SetOffset goes on with the clock of another process, told by its offset. Time never goes back.
 func (l *Loop) SetOffset(d time.Duration) {
-	l.base = time.Duration(time.Now().UnixNano()) + d - time.Since(l.start)
+	l.base = time.Duration(system.wallClock().UnixNano()) + d - time.Since(l.start)
 	l.tick()
+	l.polled = l.now // it is the clock that was moved, the process has not stood still
 }
 
 // Buf is room to read into, good until the handler returns.
@@ -130,7 +167,14 @@
 }
 
 // First has a descriptor served before all others of its turn.
-func (s *Source) First() { s.first, s.l.firsts = true, true }
+func (s *Source) First() { s.order, s.l.firsts = first, true }
+
+// Last has a descriptor served after all others of its turn, until Usual: what it begins must not overlook news that waits
+// to be read at one of them.
+func (s *Source) Last() { s.order = last }
+
+// Usual ends First or Last.
+func (s *Source) Usual() { s.order = usual }
 
 // Want changes what a descriptor is watched for.
 func (s *Source) Want(events uint32) {
@@ -243,18 +287,16 @@
 func (l *Loop) Run(t Turner) error {
 	var next time.Duration
 	for !l.stopped {
-		n, err := unix.EpollWait(l.epoll, l.ready, l.wait(next))
+		n, err := system.wait(l.epoll, l.ready, l.wait(next))
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll: %w", err)
 		}
 		l.tick()
+		l.gathered()
 		if l.turnStart != nil {
 			l.turnStart(l.now)
 		}
-		if l.firsts {
-			l.serve(l.ready[:max(n, 0)], true)
-		}
-		l.serve(l.ready[:max(n, 0)], false)
+		l.serveAll(l.ready[:max(n, 0)])
 		for more := true; more; {
 			select {
 			case fn := <-l.posted:
@@ -277,11 +319,38 @@
 	return nil
 }
 
-// serve tells the handlers of what is ready, of those that go first or of the others.
-func (l *Loop) serve(ready []unix.EpollEvent, first bool) {
+// gathered notes when a turn's descriptors were gathered, and whether the process stood still before that.
+func (l *Loop) gathered() {
+	l.late = 0
+	if gap := l.now - l.polled; gap > stalledAfter {
+		l.late = gap
+	}
+	l.polled = l.now
+}
+
+// serveAll tells the handlers of what is ready: those that go first, the usual ones, those that go last.
+func (l *Loop) serveAll(ready []unix.EpollEvent) {
+	if l.firsts {
+		l.serve(ready, first)
+	}
+	l.lasts = false
+	l.serve(ready, usual)
+	if l.lasts {
+		l.serve(ready, last)
+	}
+}
+
+// serve tells the handlers of what is ready, of those of one order.
+func (l *Loop) serve(ready []unix.EpollEvent, which order) {
 	for _, ev := range ready {
-		if s := l.sources[ev.Fd]; s != nil && s.gen == ev.Pad && s.first == first {
+		s := l.sources[ev.Fd]
+		if s == nil || s.gen != ev.Pad {
+			continue
+		}
+		if s.order == which {
 			s.handler.Ready(ev.Events)
+		} else if s.order == last {
+			l.lasts = true
 		}
 	}
 }
@@ -292,9 +361,9 @@
 	if at, ok := l.timers.Next(); ok && (next == 0 || at < next) {
 		next = at
 	}
-	if next == 0 {
-		return -1
+	left := waitMost
+	if next != 0 {
+		left = min(left, next-l.clock())
 	}
-	left := next - max(l.now, (l.base+time.Since(l.start)).Truncate(time.Microsecond))
-	return int(max(0, min(left+time.Millisecond-1, time.Minute)) / time.Millisecond)
+	return int(max(0, left+time.Millisecond-1) / time.Millisecond)
 }
--- a/internal/net/loop/sock.go
+++ b/internal/net/loop/sock.go
@@ -15,7 +15,7 @@
 // Read reads what is there. A closed peer is io.EOF.
 func Read(fd int, b []byte) (int, error) {
 	for {
-		n, err := unix.Read(fd, b)
+		n, err := system.read(fd, b)
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case err != nil:
@@ -32,7 +32,7 @@
 func Write(fd int, b []byte) (int, error) {
 	done := 0
 	for done < len(b) {
-		n, err := unix.Write(fd, b[done:])
+		n, err := system.write(fd, b[done:])
 		switch {
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
@@ -57,23 +57,23 @@
 	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
 }
 
-func socket(family int) (int, error) {
-	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+// Listen opens a listening socket. Where the machine is short of something it tries again for some seconds.
+func Listen(addr string) (int, error) {
+	return retryListen(func() (int, error) { return listen(addr, false) })
 }
 
-// Listen opens a listening socket.
-func Listen(addr string) (int, error) { return listen(addr, false) }
-
 // ListenBeside opens a listening socket at an address where another process of the same user may listen, too, if
 // it has opened its socket in this way. Where the system knows of no such thing, it listens alone.
-func ListenBeside(addr string) (int, error) { return listen(addr, true) }
+func ListenBeside(addr string) (int, error) {
+	return retryListen(func() (int, error) { return listen(addr, true) })
+}
 
 func listen(addr string, beside bool) (int, error) {
 	sa, family, err := address(addr)
 	if err != nil {
 		return -1, err
 	}
-	fd, err := socket(family)
+	fd, err := system.socket(family, unix.SOCK_STREAM)
 	if err != nil {
 		return -1, fmt.Errorf("listen on %s: %w", addr, err)
 	}
@@ -94,10 +94,15 @@
 	return fd, nil
 }
 
-// Accept takes one waiting connection; ErrAgain when there is none.
+// acceptTries is how many connections may be found broken off, or calls interrupted, before Accept gives way to the other
+// descriptors of the turn.
+const acceptTries = 16
+
+// Accept takes one waiting connection; ErrAgain when there is none, or when so many have been broken off before they were
+// taken that the others are to have their turn first. See [OutOfDescriptors] and [OutOfResources] for its other errors.
 func Accept(fd int) (int, error) {
-	for {
-		c, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	for range acceptTries {
+		c, err := system.accept(fd)
 		if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
 			continue
 		}
@@ -106,23 +111,29 @@
 		}
 		return c, err
 	}
+	return -1, ErrAgain
 }
 
 // noDelay: answers are written whole, so waiting for more would only hold them up.
 func noDelay(fd int) { _ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) }
 
-// Dial begins to connect; the descriptor is writable once it is up or has failed.
+// Dial begins to connect; the descriptor is writable once it is up or has failed. Where the machine is short of something
+// it tries a few times at once.
 func Dial(addr string) (int, error) {
 	sa, family, err := address(addr)
 	if err != nil {
 		return -1, err
 	}
-	fd, err := socket(family)
+	return retryDial(func() (int, error) { return dial(addr, family, sa) })
+}
+
+func dial(addr string, family int, sa unix.Sockaddr) (int, error) {
+	fd, err := system.socket(family, unix.SOCK_STREAM)
 	if err != nil {
 		return -1, fmt.Errorf("dial %s: %w", addr, err)
 	}
 	noDelay(fd)
-	err = unix.Connect(fd, sa)
+	err = system.connect(fd, sa)
 	if err != nil && !errors.Is(err, unix.EINPROGRESS) && !errors.Is(err, unix.EINTR) {
 		return -1, fmt.Errorf("dial %s: %w", addr, errors.Join(err, unix.Close(fd)))
 	}
@@ -164,9 +175,3 @@
 
 // EndSending tells the peer that nothing more comes, and leaves what it sends readable.
 func EndSending(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) }
-
-// OutOfDescriptors tells whether an error is for want of descriptors or memory for them.
-func OutOfDescriptors(err error) bool {
-	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) ||
-		errors.Is(err, unix.ENOMEM)
-}
--- a/internal/net/upstream/crossing_test.go
+++ b/internal/net/upstream/crossing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/core"
@@ -218,3 +220,39 @@
 	<-asked
 	require.Empty(t, asked)
 }
+
+// A connection comes up late, or the process stood still: the host is told what is left of the time then, and a request
+// whose time is up is not written.
+func TestTheTimeThatAHostIsToldWhereItsConnectionComesUpLate(t *testing.T) {
+	const (
+		wait  = 600 * time.Millisecond
+		stood = 200 * time.Millisecond
+	)
+	told := make(chan string, 2)
+	l, p, sink := pool(t, func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			told <- r.Header.Get("Request-Timeout")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+		}
+	})
+	start := func(n int, wait time.Duration) {
+		nettest.Until(t, l, func() bool { return true })
+		p.Start(core.Ref{Stream: uint64(n)}, "h", &Message{Method: "GET", Target: "/"}, wait)
+		time.Sleep(stood) // as if stopped
+	}
+	start(1, wait)
+	require.Equal(t, []admission.Outcome{admission.OK}, ends(t, l, sink, 1))
+	left, err := time.ParseDuration(<-told + "s")
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, wait-stood)
+	start(2, stood/2)
+	require.Equal(t, admission.Unreachable, ends(t, l, sink, 2)[1], "it can't have run")
+	require.Empty(t, told)
+}
+
+// What this machine is short of for a moment tells nothing of the host.
+func TestAShortageOfThisMachineIsNoFaultOfTheHost(t *testing.T) {
+	require.Equal(t, admission.NotSent, dialOutcome(fmt.Errorf("dial: %w", unix.ENOBUFS)))
+	require.Equal(t, admission.Unreachable, dialOutcome(fmt.Errorf("dial: %w", unix.ECONNREFUSED)))
+	require.Equal(t, admission.Unreachable, dialOutcome(errFull))
+}
--- a/internal/net/upstream/hosts.go
+++ b/internal/net/upstream/hosts.go
@@ -26,7 +26,7 @@
 		return
 	}
 	// Connections to a process that is no more may stand without a word: a request on one would be lost.
-	moved, begun := h.addr != addr, boot > h.boot
+	moved, begun := h.addr != addr, boot != h.boot && boot != 0
 	h.addr, h.boot, h.leaving = addr, boot, leaving
 	if moved || begun || leaving {
 		p.CloseIdle(name)
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -108,7 +108,9 @@
 	busy    bool
 	probe   bool
 	ref     core.Ref
-	out     []byte // of the request, not written yet
+	message *Message      // of a request that waits for the connection to come up, nil: none
+	ends    time.Duration // when the time of that request is up
+	out     []byte        // of the request, not written yet
 	since   time.Duration
 	kept    bool          // it has served a request before this one
 	wrote   time.Duration // the request was whole on it
@@ -142,33 +144,13 @@
 		p.ended(ref, probe, admission.Unreachable, core.Answer{})
 		return
 	}
-	if h.leaving { // it was chosen before that was told
+	if h.leaving || p.loop.Stalled() { // it was chosen before that was told, or before the process stood still
 		p.ended(ref, probe, admission.NotSent, core.Answer{})
 		return
 	}
-	b := make([]byte, 0, 512+len(m.Body))
-	headers := m.Headers
-	if !probe {
-		headers = append(headers[:len(headers):len(headers)],
-			http1.Header{Name: "Request-Timeout", Value: strconv.FormatInt(max(1, wait.Milliseconds()), 10) + "m"})
-	}
-	if t := m.Trace; t.Valid() {
-		headers = append(headers, http1.Header{Name: "traceparent",
-			Value: string(tracecontext.AppendParent(nil, t.Trace, t.Span.Try(ref.Attempt), t.Sampled))})
-		if t.State != "" {
-			headers = append(headers, http1.Header{Name: "tracestate", Value: t.State})
-		}
-	}
-	if m.Rest != nil {
-		b = http1.AppendOpenRequest(b, m.Method, m.Target, "service.internal", headers, m.Rest.Length)
-	} else {
-		b = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
-	}
 	if c := p.keeps(h, m); c != nil {
-		c.begin(ref, probe, b)
-		if m.Rest != nil {
-			c.attach(m.Rest)
-		}
+		c.begin(ref, probe, m, wait)
+		c.compose()
 		c.flush()
 		return
 	}
@@ -178,18 +160,25 @@
 			p.told = now
 			p.log.Warn("upstream connection not opened", "host", name, "error", err)
 		}
-		p.ended(ref, probe, admission.Unreachable, core.Answer{})
+		p.ended(ref, probe, dialOutcome(err), core.Answer{})
 		return
 	}
-	c.begin(ref, probe, b)
-	if m.Rest != nil {
-		c.attach(m.Rest)
+	c.begin(ref, probe, m, wait)
+}
+
+// dialOutcome tells what a connection that could not be begun says. What this machine is short of says nothing of the host,
+// which must not be ejected for it.
+func dialOutcome(err error) admission.Outcome {
+	if loop.OutOfResources(err) {
+		return admission.NotSent
 	}
+	return admission.Unreachable
 }
 
 var (
 	errFull   = errors.New("all upstream connections in use")
 	errSilent = errors.New("no progress")
+	errLate   = errors.New("no time is left for the request")
 	errSecond = errors.New("an answer too soon after another")
 )
 
@@ -198,7 +187,7 @@
 		return nil, errFull
 	}
 	fd, err := loop.Dial(h.addr)
-	if err != nil && loop.OutOfDescriptors(err) && p.makeRoom() {
+	if loop.OutOfDescriptors(err) && p.makeRoom() {
 		fd, err = loop.Dial(h.addr)
 	}
 	if err != nil {
@@ -211,6 +200,7 @@
 		return nil, err
 	}
 	p.conns++
+	c.src.Last() // what it brings is no more than that a request can be written
 	c.dialing = p.loop.After(p.lim.DialLimit, func() { c.fail(io.ErrNoProgress) })
 	return c, nil
 }
@@ -250,9 +240,38 @@
 	p.sink.UpstreamEnded(p.loop.Now(), ref, o, a)
 }
 
-func (c *conn) begin(ref core.Ref, probe bool, b []byte) {
-	c.busy, c.ref, c.probe, c.out = true, ref, probe, b
+// begin has the connection carry a request, which is written once it is up.
+func (c *conn) begin(ref core.Ref, probe bool, m *Message, wait time.Duration) {
+	c.busy, c.ref, c.probe, c.message, c.ends = true, ref, probe, m, c.p.loop.Now()+wait
 	c.p.out[ref] = c
+	if m.Rest != nil {
+		c.attach(m.Rest)
+	}
+}
+
+// compose makes the request's bytes. It is done when they can be written: the host is told what is left of the time then.
+func (c *conn) compose() {
+	m := c.message
+	c.message = nil
+	headers := m.Headers
+	if !c.probe {
+		left := c.ends - c.p.loop.Now()
+		headers = append(headers[:len(headers):len(headers)],
+			http1.Header{Name: "Request-Timeout", Value: strconv.FormatInt(max(1, left.Milliseconds()), 10) + "m"})
+	}
+	if t := m.Trace; t.Valid() {
+		headers = append(headers, http1.Header{Name: "traceparent",
+			Value: string(tracecontext.AppendParent(nil, t.Trace, t.Span.Try(c.ref.Attempt), t.Sampled))})
+		if t.State != "" {
+			headers = append(headers, http1.Header{Name: "tracestate", Value: t.State})
+		}
+	}
+	b := make([]byte, 0, 512+len(m.Body))
+	if m.Rest != nil {
+		c.out = http1.AppendOpenRequest(b, m.Method, m.Target, "service.internal", headers, m.Rest.Length)
+	} else {
+		c.out = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
+	}
 }
 
 // Ready goes on with what the connection was about.
@@ -261,13 +280,7 @@
 		if events&(loop.Out|loop.Hangup) == 0 {
 			return
 		}
-		if err := loop.Dialled(c.src.FD()); err != nil {
-			c.fail(err)
-			return
-		}
-		c.up = true
-		c.dialing.Stop()
-		c.flush()
+		c.connected()
 		return
 	}
 	if events&(loop.In|loop.Hangup) != 0 {
@@ -278,6 +291,26 @@
 	}
 }
 
+// connected writes the request that waited for the connection, unless its time is up.
+func (c *conn) connected() {
+	if c.p.loop.Stalled() { // what has come of clients and lists meanwhile goes first, in the next turn
+		return
+	}
+	err := loop.Dialled(c.src.FD())
+	if err == nil && c.p.loop.Now() >= c.ends {
+		err = errLate
+	}
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	c.up = true
+	c.src.Usual()
+	c.dialing.Stop()
+	c.compose()
+	c.flush()
+}
+
 func (c *conn) flush() {
 	for {
 		n, err := loop.Write(c.src.FD(), c.out)
