Debug log: request ids, attempts, and the reason of each close, retry and refusal

Change: with log level debug each request, attempt and connection has its lines; Refuse and Fail carry a reason; outcomes are named in one place. A process that stood still says so, every 10 s at most.

--- a/admission/answers.go
+++ b/admission/answers.go
@@ -20,24 +20,24 @@
 }
 
 // giveUp gives the final answer of a request that will not be served.
-func (g *Gateway) giveUp(r *request) {
+func (g *Gateway) giveUp(r *request, why Reason) {
 	if g.mayRefuse(r) {
 		after := shedAdvice
 		if g.now >= r.due { // whatever comes of this request now is too late
 			after = max(after, g.s.MaxRetryAfter)
 		}
-		g.refuse(r, after)
+		g.refuse(r, after, why)
 		return
 	}
-	g.do(Fail{ID: r.id})
+	g.do(Fail{ID: r.id, Reason: why})
 	g.finish(r)
 }
 
-func (g *Gateway) refuse(r *request, after time.Duration) {
+func (g *Gateway) refuse(r *request, after time.Duration, why Reason) {
 	if !g.s.RetryAfter {
 		after = 0
 	}
-	g.do(Refuse{ID: r.id, RetryAfter: after})
+	g.do(Refuse{ID: r.id, RetryAfter: after, Reason: why})
 	g.finish(r)
 }
 
--- a/admission/api.go
+++ b/admission/api.go
@@ -152,6 +152,16 @@
 	OutcomeCount         // number of outcomes
 )
 
+var outcomeNames = [OutcomeCount]string{"ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "not_sent"}
+
+// String names an outcome in logs and telemetry.
+func (o Outcome) String() string {
+	if o < 0 || o >= OutcomeCount {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
 // AttemptEnded: the outcome of one Send. Done marks a request that has finished.
 type AttemptEnded struct {
 	ID      uint64
@@ -271,10 +281,30 @@
 type Refuse struct {
 	ID         uint64
 	RetryAfter time.Duration // 0: no advice
+	Reason     Reason
 }
 
 // Fail is the final answer "failed": nothing is promised of the effect.
-type Fail struct{ ID uint64 }
+type Fail struct {
+	ID     uint64
+	Reason Reason
+}
+
+// Reason tells the operator why a request was refused or failed. Nothing is decided by it.
+type Reason string
+
+// The reasons.
+const (
+	OverQuota   Reason = "over its quota or ceiling"
+	Shed        Reason = "shed: answers come late"
+	NoTime      Reason = "no time is left for an attempt"
+	NoAttempt   Reason = "all attempts are spent, or its body can't be sent again"
+	NoRepeat    Reason = "it may have run, and may not be repeated"
+	NoHost      Reason = "no upstream host can take it"
+	TooSlow     Reason = "no upstream host would answer in time"
+	NoRetry     Reason = "the retry budget is spent, or its aim is over"
+	OverCeiling Reason = "over this ingress's share of its ceiling"
+)
 
 // SetTimer asks for a TimerFired at the clock time At.
 type SetTimer struct {
--- a/admission/attempts.go
+++ b/admission/attempts.go
@@ -48,8 +48,8 @@
 	if r.done {
 		return
 	}
-	if r.deadline <= g.now+g.s.Tick || g.spent(r) || !g.mayRepeat(r) {
-		g.giveUp(r)
+	if why := g.hopeless(r); why != "" {
+		g.giveUp(r, why)
 		return
 	}
 	left := (r.due - g.now).Seconds()
@@ -69,12 +69,29 @@
 		if s != nil && len(s.out) == 0 { // even a free server seems too slow: nothing would tell otherwise
 			g.stats[r.ci].Doubt(g.now, statMemory, waitSure*wait, r.class.most())
 		}
-		g.giveUp(r)
+		if s == nil {
+			g.giveUp(r, NoHost)
+		} else {
+			g.giveUp(r, TooSlow)
+		}
 	default:
 		g.send(r, s, wait)
 	}
 }
 
+// hopeless tells why a request can't be sent on, whatever the servers are like; "": it can.
+func (g *Gateway) hopeless(r *request) Reason {
+	switch {
+	case r.deadline <= g.now+g.s.Tick:
+		return NoTime
+	case g.spent(r):
+		return NoAttempt
+	case !g.mayRepeat(r):
+		return NoRepeat
+	}
+	return ""
+}
+
 // spare is how long a request may wait for its answer among others of ours, of what is left of its aim: while
 // those of more worth find no room, less. By their own aims the patient would fill all servers first, and the
 // hasty never fit behind them. A server with nothing out takes any, else nothing would tell that waits are
@@ -109,7 +126,7 @@
 	if c := r.cust; !r.sent && c != nil {
 		if c.plan.CeilingRate > 0 && !r.shown {
 			if !c.underCeiling(g.now, r.units) {
-				g.giveUp(r)
+				g.giveUp(r, OverCeiling)
 				return
 			}
 			c.hard -= r.units
@@ -168,8 +185,10 @@
 	case g.budget >= 1 && g.mayRepeat(r) && g.now < r.due:
 		g.budget--
 		g.route(r)
+	case !g.mayRepeat(r):
+		g.giveUp(r, NoRepeat)
 	default:
-		g.giveUp(r)
+		g.giveUp(r, NoRetry)
 	}
 	g.recheck()
 }
--- a/admission/follow_test.go
+++ b/admission/follow_test.go
@@ -85,3 +85,79 @@
 		t.Error("settings that can't be worked with are taken")
 	}
 }
+
+// Settings that follow each other quickly change the length of the counter's windows each time. A total of a window that
+// has just begun shows little, and must not let in anew what a ceiling's windows may show: until those of the former
+// length are over it shows nothing.
+func TestTotalsShowNothingWhileWindowsChangeTheirLength(t *testing.T) {
+	s := followed(func(s *Settings) {
+		s.Gateways, s.MaxUnits = 40, 1
+		s.Plans = append(s.Plans, Plan{Name: "joint", Rate: 4, Burst: 8, CeilingRate: 8, CeilingBurst: 16, CeilingSlack: 1, OverCost: 1})
+	})
+	joint := len(s.Plans) - 1
+	d := newDesk(t, s, "s1")
+	shown := func(id uint64) bool {
+		d.wait(ms)
+		d.do(RequestArrived{ID: id, Class: 0, Plan: joint, ExpiresIn: time.Second, Units: 1, Customer: 9, Doors: 40})
+		for _, a := range d.look() {
+			if k, ok := a.(CounterAdd); ok {
+				d.do(CounterAnswered{Name: k.Name, Total: k.By, Took: ms, Outcome: OK})
+			}
+		}
+		for _, a := range d.look() {
+			if _, sent := a.(Send); sent {
+				d.do(AttemptEnded{ID: id, Server: "s1", Outcome: OK, Took: ms, Done: true})
+				d.look()
+				return true
+			}
+		}
+		return false
+	}
+	// some tells whether any of many requests was let in: which of them ask the counter is a matter of chance.
+	next := uint64(1)
+	some := func() bool {
+		for range 60 {
+			if next++; shown(next) {
+				return true
+			}
+		}
+		return false
+	}
+	if !some() {
+		t.Fatal("a total that shows room lets nobody in")
+	}
+	for i := range 4 {
+		s.Plans = slices.Clone(s.Plans)
+		s.Plans[joint].Burst = 8 + float64(i+1)
+		d.do(SettingsChanged{s})
+		d.look()
+		if some() {
+			t.Fatalf("let in after %d changes, within the former window", i+1)
+		}
+	}
+	d.wait(s.Plans[joint].window())
+	if !some() {
+		t.Error("nobody is let in once the windows are of one length")
+	}
+}
+
+// A server that restarts after its clock was set back says an earlier start than before; it is cold all the same.
+func TestARestartAfterAClockWasSetBack(t *testing.T) {
+	d := newDesk(t, base())
+	at := func(boot time.Duration) {
+		d.do(ServerList{Kind: ListChanges, Servers: []ServerEntry{{Name: "s1", Zone: "a", Size: 1, Boot: boot}}})
+	}
+	at(d.now - time.Minute)
+	if w := d.g.warmth(d.g.servers["s1"]); w != 1 {
+		t.Fatalf("warmth %v a minute after its start", w)
+	}
+	d.g.servers["s1"].bad = 3
+	at(d.now - 2*time.Minute)
+	if s := d.g.servers["s1"]; s.bad != 0 || s.coldAt != d.now-2*time.Minute {
+		t.Errorf("not taken for a restart: %+v", s)
+	}
+	at(0)
+	if s := d.g.servers["s1"]; s.coldAt != d.now-2*time.Minute {
+		t.Error("that its start is long ago is no restart")
+	}
+}
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -148,7 +148,7 @@
 	c := g.customer(ev.Customer, ev.Plan, ev.Doors, ev.FirstDoor)
 	r.cust = c
 	if g.rng.Float64() >= math.Pow(g.mix.Level(g.shed, g.admit), g.shed[r.ci]) {
-		g.giveUp(r)
+		g.giveUp(r, Shed)
 		return
 	}
 	p := c.plan
@@ -296,7 +296,7 @@
 func (g *Gateway) decide(r *request, over bool, heft float64) {
 	c := r.cust
 	if r.detach(); over {
-		g.refuse(r, g.untilWindow(c))
+		g.refuse(r, g.untilWindow(c), OverQuota)
 		return
 	}
 	g.charge(r, heft)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -85,8 +85,10 @@
 	actions []admission.Action
 	orders  orders
 
-	turning  bool // actions are being carried out
-	held     bool // the module is given nothing yet
+	debugs   bool             // the log takes debug lines
+	reason   admission.Reason // of the end that the module has just ordered
+	turning  bool             // actions are being carried out
+	held     bool             // the module is given nothing yet
 	witness  Witness
 	parking  bool // counter calls wait,
 	dropping bool // or are a successor's to make
@@ -117,7 +119,7 @@
 		observer: c.Observer, figures: c.Figures, log: c.Log, margin: c.Margin,
 		streams: map[uint64]*stream{}, keys: map[string]struct{}{}, probes: map[uint64]probe{},
 		orders: orders{windows: c.Windows, byKey: map[string]*order{}, places: map[string]place{}},
-		theirs: map[uint64]OpenStream{}}
+		theirs: map[uint64]OpenStream{}, debugs: Debugs(c.Log)}
 }
 
 // Observed tells whether anybody is told of streams' ends, and so whether traces are worth keeping.
@@ -147,11 +149,13 @@
 	c.orders.expire(c.now)
 	c.callOff(r.Order)
 	if r.Order != "" && c.orders.open(r.Order) {
+		c.traceTurnedDown(r, "its idempotency key is open")
 		c.tally(r.Class, Failed) // the front answers with an error
 		return 0
 	}
 	if r.Key != "" {
 		if _, taken := c.keys[r.Key]; taken {
+			c.traceTurnedDown(r, "its id is open")
 			c.tally(r.Class, Failed)
 			return 0
 		}
@@ -176,6 +180,7 @@
 	} else {
 		c.runOut(s)
 	}
+	c.traceArrived(s, ev.ExpiresIn)
 	c.events = append(c.events, ev)
 	return s.id
 }
@@ -219,6 +224,7 @@
 	}
 	t := &s.attempts[ref.Attempt]
 	t.live, t.Outcome, t.Took = false, o, c.now-t.Began
+	c.traceAttemptEnded(s, ref, t.Host, o, t.Took)
 	s.live--
 	s.timedOut = o == admission.TimedOut
 	if o == admission.OK && !s.closed {
@@ -370,6 +376,7 @@
 		c.stop(Ref{a.ID, a.Attempt}, admission.Cancelled)
 	case admission.Refuse:
 		if s := c.streams[a.ID]; s != nil && !s.closed {
+			c.reason = a.Reason
 			c.end(s, End{Kind: Refused, RetryAfter: a.RetryAfter})
 		}
 	case admission.Fail:
@@ -378,6 +385,7 @@
 			if s.timedOut {
 				kind = Expired
 			}
+			c.reason = a.Reason
 			c.end(s, End{Kind: kind})
 		}
 	case admission.SetTimer:
@@ -433,6 +441,7 @@
 		}
 	}
 	wait := s.ends - c.now
+	c.traceSend(s, ref, a.Server, wait)
 	if s.open {
 		s.attempts[ref.Attempt].wait, wait = a.Wait, s.expires
 	} else if a.Wait > 0 && a.Wait < wait {
@@ -445,6 +454,8 @@
 // end closes a stream, once.
 func (c *Core) end(s *stream, e End) {
 	s.closed = true
+	c.traceEnd(s, e.Kind)
+	c.reason = ""
 	c.open--
 	if s.open {
 		c.coming--
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -130,8 +130,9 @@
 	awaits    *loop.Source // where a successor is awaited, nil: nowhere
 	beside    bool         // somebody else has started us as a successor
 	draining  bool
-	leaves    bool // the planned end is for good
-	leaving   bool // nothing is open any more
+	leaves    bool          // the planned end is for good
+	leaving   bool          // nothing is open any more
+	stallTold time.Duration // when it was last logged that the process stood still
 	fault     error
 
 	pred *predecessor // our part in an upgrade that replaces us
@@ -335,6 +336,7 @@
 	if d.core == nil { // a successor that has not been told whose place it takes
 		return 0
 	}
+	d.noteStall(now)
 	next := d.core.Turn(now)
 	d.pred.turn(now)
 	if d.server.Closed() && d.core.Open() == 0 && d.server.Connections() == 0 && !d.leaving {
@@ -345,6 +347,17 @@
 	return next
 }
 
+// stallEvery: a process that stands still again and again says so that often.
+const stallEvery = 10 * time.Second
+
+// noteStall tells the operator that the process stood still: stopped, or without a processor.
+func (d *Daemon) noteStall(now time.Duration) {
+	if late := d.loop.Late(); late > 0 && now-d.stallTold > stallEvery {
+		d.stallTold = now
+		d.log.Warn("process stood still", "at_most", late)
+	}
+}
+
 // drain is the planned end: new connections are taken a while longer, since the front notices late;
 // every answer closes its connection; then the listener closes, and with the last answer the daemon ends.
 func (d *Daemon) drain() {
--- a/internal/net/counter/counter.go
+++ b/internal/net/counter/counter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"ferryfront.example/ferryfront/admission"
+	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
@@ -34,6 +35,7 @@
 	retired []*conn
 	turns   map[string][]*call // calls not told, by name
 	heard   time.Duration      // the last answer on any connection
+	debugs  bool               // the log takes debug lines
 	lost    bool               // told to the operator...
 	told    time.Duration      // ...at this time
 
@@ -42,7 +44,8 @@
 
 // New returns a client. SetSink must follow before the first call.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, addr string) *Client {
-	c := &Client{loop: l, lim: lim, log: log, addr: addr, turns: map[string][]*call{}}
+	c := &Client{loop: l, lim: lim, log: log, addr: addr, turns: map[string][]*call{},
+		debugs: core.Debugs(log)}
 	c.conns = make([]*conn, lim.CounterConns)
 	c.fresh()
 	l.After(sweepEvery, c.sweep)
@@ -331,6 +334,9 @@
 // fail ends the connection and its calls. One that was not wholly written was not added; any other may
 // have been, or may yet be, as with one that ran out of time.
 func (k *conn) fail(why string) {
+	if k.c.debugs {
+		k.c.log.Debug("counter connection closed", "cause", why, "calls", len(k.calls), "up", k.up)
+	}
 	calls, wrote := k.calls, k.wrote
 	k.close()
 	if len(calls) > 0 || !k.up {
--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -180,6 +180,7 @@
 	if addr == w.addr {
 		return
 	}
+	w.log.Debug("discovery moves", "from", w.addr, "to", addr)
 	w.addr, w.whole, w.backoff = addr, true, 0
 	w.dial()
 }
@@ -321,6 +322,7 @@
 // fail ends a watch that is of no further use. It reports what it was to its watcher, which opens another
 // unless one is on its way.
 func (x *watch) fail(why string) {
+	x.w.log.Debug("discovery watch closed", "cause", why, "up", x.up, "heard", x.heard, "counts", x == x.w.cur)
 	x.close()
 	switch w := x.w; x {
 	case w.next:
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
@@ -38,8 +39,10 @@
 	toldAt    time.Duration // when the operator was last told of a pause
 	held      bool          // nobody is read: another process is about to take over
 	hand      func(State, int)
-	uploads   int // requests whose bodies are passed on while they come
-	elsewhere int // connections that another process holds
+	debugs    bool   // the log takes debug lines
+	accepted  uint64 // connections, from the start
+	uploads   int    // requests whose bodies are passed on while they come
+	elsewhere int    // connections that another process holds
 }
 
 type listener struct {
@@ -51,7 +54,7 @@
 
 // New returns a server without listeners.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger) *Server {
-	s := &Server{loop: l, lim: lim, log: log, conns: map[*Conn]struct{}{}}
+	s := &Server{loop: l, lim: lim, log: log, conns: map[*Conn]struct{}{}, debugs: core.Debugs(log)}
 	l.After(sweepEvery, s.sweep)
 	return s
 }
@@ -119,7 +122,10 @@
 		loop.CloseFD(fd)
 		return err
 	}
+	s.accepted++
+	c.number = s.accepted
 	s.conns[c] = struct{}{}
+	c.traceOpened()
 	c.list()
 	return nil
 }
@@ -130,10 +136,10 @@
 	for c := range s.conns {
 		switch {
 		case c.lingering && now-c.since > c.lingerTime():
-			c.drop()
+			c.drop(closedLingered)
 		case c.down != nil:
 			if now-c.down.moved > s.lim.FlowSilence {
-				c.gone()
+				c.gone(closedNoProgress)
 			}
 		case c.up != nil && c.slow(now):
 			c.cut()
@@ -145,7 +151,7 @@
 				c.malformed(408, "request not whole in time")
 			}
 		case !c.served && now-c.opened > s.lim.FirstTime, now-c.since > s.lim.DownstreamIdle:
-			c.finishUnlessAsked()
+			c.finishUnlessAsked(closedIdle)
 		}
 	}
 }
@@ -165,6 +171,7 @@
 	Trace  string // traceparent that its answer gives back, empty for none
 
 	s          *Server
+	number     uint64 // in the log
 	src        *loop.Source
 	ln         *listener
 	parser     *http1.RequestParser
@@ -226,7 +233,7 @@
 	}
 	switch {
 	case events&loop.Broken != 0: // whatever of it is not read yet
-		c.gone()
+		c.gone(closedReset)
 	case events&loop.Ended != 0 && c.stuck():
 		c.left()
 	case c.s.held && !c.busy: // what has come is read by whoever goes on with the connection
@@ -245,7 +252,7 @@
 	buf := c.s.loop.Buf()
 	n, err := loop.Read(c.src.FD(), buf[:min(len(buf), most)])
 	if err != nil && !errors.Is(err, loop.ErrAgain) { // gone, whether with EOF or a reset
-		c.gone()
+		c.gone(closeReason(err.Error()))
 		return
 	}
 	if n > 0 {
@@ -294,6 +301,7 @@
 		c.came = c.arrivals.of(c.parser.Buffered(), c.Now())
 		c.busy, c.head, c.old = true, req.Method == "HEAD", req.Old
 		c.last = c.last || req.Close
+		c.traceRead(req)
 		c.unlist()
 		if req.Open {
 			c.begin(req)
@@ -380,7 +388,7 @@
 // answered goes on after an answer, as far as it is ours to write.
 func (c *Conn) answered() {
 	if c.last {
-		c.finish()
+		c.finish(closedAnswered)
 		return
 	}
 	c.setIdle()
@@ -402,7 +410,7 @@
 	}
 	n, err := loop.Write(c.src.FD(), b)
 	if err != nil {
-		c.gone()
+		c.gone(closeReason(err.Error()))
 		return false
 	}
 	if n < len(b) {
@@ -415,7 +423,7 @@
 func (c *Conn) flush() bool {
 	n, err := loop.Write(c.src.FD(), c.out)
 	if err != nil {
-		c.gone()
+		c.gone(closeReason(err.Error()))
 		return false
 	}
 	if c.out = c.out[n:]; len(c.out) == 0 {
@@ -434,24 +442,25 @@
 	return true
 }
 
-// gone: the client has closed.
-func (c *Conn) gone() {
+// gone: the client has closed, or the connection is of no more use to it.
+func (c *Conn) gone(why closeReason) {
 	busy := c.busy
 	if c.up != nil {
 		c.up.pipe.End(false)
 		c.noUpload()
 	}
-	c.drop()
+	c.drop(why)
 	if busy {
 		c.busy = false
 		c.ln.front.Left(c)
 	}
 }
 
-func (c *Conn) drop() {
+func (c *Conn) drop(why closeReason) {
 	if c.src.FD() < 0 {
 		return
 	}
+	c.traceClosed(why)
 	c.src.Close()
 	c.dropUpload()
 	if c.down != nil {
--- a/internal/net/downstream/end.go
+++ b/internal/net/downstream/end.go
@@ -14,11 +14,12 @@
 
 // finish ends our side once all is written. The other side is read on for a while: to close on bytes
 // not read would reset the connection and could destroy the answer on its way.
-func (c *Conn) finish() {
+func (c *Conn) finish(why closeReason) {
 	if c.lingering || c.src.FD() < 0 {
 		return
 	}
 	c.unlist()
+	c.traceEnding(why)
 	c.lingering, c.since = true, c.s.loop.Now()
 	if len(c.out) == 0 {
 		c.endSending()
@@ -28,7 +29,7 @@
 
 func (c *Conn) endSending() {
 	if err := loop.EndSending(c.src.FD()); err != nil {
-		c.drop()
+		c.drop(closeReason(err.Error()))
 		return
 	}
 	c.s.leaving.push(c)
@@ -44,7 +45,7 @@
 	case errors.Is(err, io.EOF) && len(c.out) > 0:
 		c.src.Want(loop.Out) // the client has ended its side and still takes the answer
 	case err != nil, c.dropped > c.s.lim.LingerBytes && !c.unread, c.dropped > c.s.lim.BodyBytes+c.s.lim.LingerBytes:
-		c.drop()
+		c.drop(closedAfterEnd)
 	}
 }
 
@@ -86,18 +87,18 @@
 // endIdle ends the connections on which nothing has come.
 func (s *Server) endIdle() {
 	for c := range s.conns {
-		c.finishUnlessAsked()
+		c.finishUnlessAsked(closedDraining)
 	}
 }
 
 // finishUnlessAsked ends a connection between requests, unless one has come that was not read yet: that is answered.
-func (c *Conn) finishUnlessAsked() {
+func (c *Conn) finishUnlessAsked(why closeReason) {
 	if c.busy || c.lingering {
 		return
 	}
 	c.read()
 	if !c.busy && !c.lingering && !c.parser.Begun() {
-		c.finish()
+		c.finish(why)
 	}
 }
 
--- a/internal/net/downstream/flow.go
+++ b/internal/net/downstream/flow.go
@@ -67,7 +67,7 @@
 func (c *Conn) left() {
 	c.cut()
 	c.busy, c.unread = false, true
-	c.finish()
+	c.finish(closedLeft)
 }
 
 // noUpload: the present request has no more to come.
@@ -152,7 +152,7 @@
 		} else {
 			var err error
 			if n, err = loop.Write(c.src.FD(), b); err != nil {
-				c.gone()
+				c.gone(closeReason(err.Error()))
 				return
 			}
 		}
@@ -179,7 +179,7 @@
 		c.src.Reset()
 	}
 	done := c.down.done
-	c.drop()
+	c.drop(closedRelayCut)
 	done(false)
 }
 
--- a/internal/net/downstream/room.go
+++ b/internal/net/downstream/room.go
@@ -14,7 +14,7 @@
 // clients' are new ones soon, and the next wait until there is room. A server may close any of these.
 func (s *Server) makeRoom() bool {
 	if c := s.leaving.first; c != nil {
-		c.drop()
+		c.drop(closedForRoom)
 		return true
 	}
 	for range roomTries {
@@ -27,8 +27,8 @@
 			return true
 		}
 		if c.in != nil && c.moved < s.loop.Now() {
-			c.finish()
-			c.drop()
+			c.finish(closedForRoom)
+			c.drop(closedForRoom)
 			return true
 		}
 	}
--- a/internal/net/upstream/flow.go
+++ b/internal/net/upstream/flow.go
@@ -91,7 +91,7 @@
 	pipe.OnRoom = func() {
 		if pipe.Dropped() {
 			c.unrelay()
-			c.close()
+			c.close(errTakerLeft)
 			return
 		}
 		c.watch()
@@ -139,7 +139,7 @@
 	pipe := c.relay.pipe
 	c.unrelay()
 	if c.closes || c.parser.Buffered() > 0 {
-		c.close()
+		c.close(errLastAnswer)
 	} else {
 		c.rest()
 	}
--- a/internal/net/upstream/hosts.go
+++ b/internal/net/upstream/hosts.go
@@ -68,7 +68,7 @@
 func (p *Pool) CloseIdle(name string) {
 	if h := p.hosts[name]; h != nil {
 		for len(h.idle) > 0 {
-			h.idle[len(h.idle)-1].close()
+			h.idle[len(h.idle)-1].close(errNotKept)
 		}
 	}
 }
--- a/internal/net/upstream/reuse.go
+++ b/internal/net/upstream/reuse.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	if m.Once && p.reuse.risky(p.loop.Now()) {
-		h.idle[0].close()
+		h.idle[0].close(errRisky)
 		return nil
 	}
 	for i := n - 1; i >= 0; i-- {
@@ -63,7 +63,7 @@
 			continue
 		}
 		if !c.quiet() {
-			c.close()
+			c.close(errNotQuiet)
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
@@ -111,7 +111,7 @@
 		}
 	}
 	if oldest != nil {
-		oldest.close()
+		oldest.close(errForRoom)
 	}
 	return oldest != nil
 }
@@ -121,7 +121,7 @@
 	c.since = c.p.loop.Now()
 	switch {
 	case c.p.hosts[c.h.name] != c.h, c.h.leaving, c.addr != c.h.addr:
-		c.close()
+		c.close(errNotKept)
 	case c.p.hand != nil:
 		c.give()
 	default:
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -45,6 +45,7 @@
 	out    map[core.Ref]*conn
 	relays map[*conn]struct{} // those that pass an answer on
 	conns  int
+	debugs bool          // the log takes debug lines
 	whole  *uint64       // counts requests written whole, probes aside
 	told   time.Duration // when the operator was last told of one not opened
 	reuse  reuse
@@ -59,7 +60,7 @@
 // whole counts the requests that have been written whole.
 func New(l *loop.Loop, lim limits.Limits, log *slog.Logger, whole *uint64) *Pool {
 	p := &Pool{loop: l, lim: lim, log: log, whole: whole, hosts: map[string]*host{}, out: map[core.Ref]*conn{},
-		relays: map[*conn]struct{}{}}
+		relays: map[*conn]struct{}{}, debugs: core.Debugs(log)}
 	l.After(sweepEvery, p.sweep)
 	return p
 }
@@ -88,7 +89,7 @@
 			old++
 		}
 		for _, c := range append([]*conn(nil), h.idle[:old]...) {
-			c.close()
+			c.close(errIdle)
 		}
 	}
 	p.silent(now)
@@ -160,6 +161,7 @@
 			p.told = now
 			p.log.Warn("upstream connection not opened", "host", name, "error", err)
 		}
+		p.traceNotOpened(ref, name, err)
 		p.ended(ref, probe, dialOutcome(err), core.Answer{})
 		return
 	}
@@ -175,13 +177,6 @@
 	return admission.Unreachable
 }
 
-var (
-	errFull   = errors.New("all upstream connections in use")
-	errSilent = errors.New("no progress")
-	errLate   = errors.New("no time is left for the request")
-	errSecond = errors.New("an answer too soon after another")
-)
-
 func (p *Pool) dial(h *host) (*conn, error) {
 	if p.conns+p.elsewhere >= p.lim.Upstream && !p.makeRoom() {
 		return nil, errFull
@@ -216,7 +211,7 @@
 	c.busy = false
 	c.detach()
 	delete(p.out, ref)
-	c.close()
+	c.close(errGivenUp)
 	return ran
 }
 
@@ -242,6 +237,7 @@
 
 // begin has the connection carry a request, which is written once it is up.
 func (c *conn) begin(ref core.Ref, probe bool, m *Message, wait time.Duration) {
+	c.traceBegun(ref)
 	c.busy, c.ref, c.probe, c.message, c.ends = true, ref, probe, m, c.p.loop.Now()+wait
 	c.p.out[ref] = c
 	if m.Rest != nil {
@@ -378,7 +374,7 @@
 		}
 		if !c.busy { // bytes that nobody asked for
 			c.p.noisyAt = c.p.loop.Now()
-			c.close()
+			c.close(errNotQuiet)
 			return
 		}
 		if c.relay != nil { // the others have their turns
@@ -436,7 +432,7 @@
 	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type"), Billed: billed(resp)}
 	if resp.Close || len(c.out) > 0 || c.body != nil || c.parser.Buffered() > 0 {
 		c.detach()
-		c.close()
+		c.close(errLastAnswer)
 	} else {
 		c.rest()
 	}
@@ -470,11 +466,11 @@
 
 // fail ends the connection and what was out on it. Before the last byte of a request was written
 // it can't have run; after that it may have.
-func (c *conn) fail(error) {
+func (c *conn) fail(cause error) {
 	if c.relay != nil { // its answer can't be taken back; who takes it can tell that it is not whole
 		pipe := c.relay.pipe
 		c.unrelay()
-		c.close()
+		c.close(cause)
 		pipe.End(false)
 		return
 	}
@@ -485,7 +481,7 @@
 	busy := c.busy
 	c.busy = false
 	c.detach()
-	c.close()
+	c.close(cause)
 	if busy {
 		if now := c.p.loop.Now(); o == admission.Broken && !c.probe && c.parser.Buffered() == 0 && now-c.wrote < reuseSoon {
 			c.p.reuse.learn(now, c.kept, true)
@@ -495,10 +491,11 @@
 	}
 }
 
-func (c *conn) close() {
+func (c *conn) close(cause error) {
 	if c.src.FD() < 0 {
 		return
 	}
+	c.traceClosed(cause)
 	c.dialing.Stop()
 	c.early.Stop()
 	c.src.Close()
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -38,12 +38,6 @@
 	Log                         *slog.Logger
 }
 
-var kinds = map[core.EndKind]string{core.Served: "served", core.Refused: "refused", core.Failed: "failed",
-	core.Expired: "expired", core.Left: "client_left"}
-
-var outcomes = [admission.OutcomeCount]string{"ok", "error", "full", "timeout", "unreachable", "reset", "cancelled",
-	"not_sent"}
-
 // record is one thing that happened: a stream's end, or a counter call's answer.
 type record struct {
 	stream  *core.Record
@@ -161,7 +155,7 @@
 	ctx := context.Background()
 	for r := range e.queue {
 		if r.stream == nil {
-			e.counts.Record(ctx, r.took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcomes[r.outcome])))
+			e.counts.Record(ctx, r.took.Seconds(), metric.WithAttributes(attribute.String("outcome", r.outcome.String())))
 			continue
 		}
 		e.stream(ctx, r.stream)
@@ -188,13 +182,13 @@
 func wall(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
 
 func (e *Exporter) stream(ctx context.Context, r *core.Record) {
-	class, end := attribute.String("class", e.class(r.Class)), attribute.String("end", kinds[r.Kind])
+	class, end := attribute.String("class", e.class(r.Class)), attribute.String("end", r.Kind.String())
 	plan := attribute.String("plan", e.plan(r.Plan))
 	e.streams.Record(ctx, r.Took.Seconds(), metric.WithAttributes(class, plan, end))
 	for _, t := range r.Attempts {
 		if t.Took > 0 {
 			e.upstreams.Record(ctx, t.Took.Seconds(), metric.WithAttributes(class,
-				attribute.String("outcome", outcomes[t.Outcome])))
+				attribute.String("outcome", t.Outcome.String())))
 		}
 	}
 	need := int64(1 + len(r.Attempts))
@@ -216,7 +210,7 @@
 			attribute.String("dealer", fmt.Sprintf("%016x", r.Customer)), attribute.Bool("retry", r.Retry),
 			attribute.Bool("in_time", e.inTime(r))))
 	if r.Kind == core.Failed || r.Kind == core.Expired {
-		span.SetStatus(codes.Error, kinds[r.Kind])
+		span.SetStatus(codes.Error, r.Kind.String())
 	}
 	for i, t := range r.Attempts {
 		if ids.trace.IsValid() { // the upstream host was told this one
@@ -225,12 +219,12 @@
 		outcome := "abandoned"
 		ended := r.Began + r.Took
 		if t.Took > 0 {
-			outcome, ended = outcomes[t.Outcome], t.Began+t.Took
+			outcome, ended = t.Outcome.String(), t.Began+t.Took
 		}
 		_, child := e.tracer.Start(ctx, "upstream request", trace.WithTimestamp(wall(t.Began)),
 			trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
 				attribute.String("upstream_host", t.Host), attribute.String("outcome", outcome)))
-		if outcome != outcomes[admission.OK] {
+		if outcome != admission.OK.String() {
 			child.SetStatus(codes.Error, outcome)
 		}
 		child.End(trace.WithTimestamp(wall(ended)))
