Fault tests of several processes; a process that was stopped reads all before it begins anything

A wait that SIGCONT interrupts made a turn without news, whose timers and deadlines went by what was before the stop; a request read after it was given its full time, or sent on though its client's end was right behind it; connections that waited to be accepted likewise; a stream whose client left in the turn in which the module sends it on was forgotten, and the send had no answer, which kept the module's count of attempts up for good ('send for an unknown stream'). Change: gather again after EINTR, Late until all is read, listeners remember how long connections wait, a leaving stream is kept until the module was told. internal/faulttest: real processes, a fault proxy, signals, injected system calls.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,8 @@
 	expires     time.Duration // of one that is open: its time, once it is whole
 	open        bool
 	closed      bool
+	leaving     bool // its client has left, which the module has yet to be told
+	released    bool // what no two streams may have at a time is free again
 	timedOut    bool // its last upstream request ran out of time
 	attempts    []attempt
 	live        int
@@ -83,6 +85,7 @@
 	events  []admission.Event
 	spare   []admission.Event
 	actions []admission.Action
+	leaving []*stream // see stream.leaving
 	orders  orders
 
 	debugs   bool             // the log takes debug lines
@@ -197,6 +200,8 @@
 // leave ends a stream that nobody waits for any more. What waits for its connection is not sent on, whatever the
 // module makes of attempts that are out.
 func (c *Core) leave(s *stream, kind EndKind) {
+	s.leaving = true
+	c.leaving = append(c.leaving, s)
 	c.end(s, End{Kind: kind})
 	c.events = append(c.events, admission.ClientLeft{ID: s.id})
 	for i := range s.attempts {
@@ -283,12 +288,15 @@
 	}
 	events := c.events
 	c.events, c.spare = c.spare[:0], events
+	leaving := c.leaving
+	c.leaving = nil
 	c.actions = c.actions[:0]
 	for _, ev := range events {
 		c.handle(ev)
 	}
 	clear(events)
 	c.Do(c.actions)
+	c.told(leaving)
 	if len(c.events) > 0 { // carrying out has brought news
 		return c.now
 	}
@@ -481,16 +489,37 @@
 	c.forget(s)
 }
 
+// told forgets streams of whose clients' leaving the module was told among the turn's events. Before that it may send one on
+// by an event that came earlier, and each send is answered.
+func (c *Core) told(leaving []*stream) {
+	for _, s := range leaving {
+		s.leaving = false
+		c.forget(s)
+	}
+}
+
+// forget lets go of a stream of which nothing is owed or out any more.
 func (c *Core) forget(s *stream) {
-	if s.closed && s.live == 0 {
-		s.payload = nil
+	if !s.closed || s.live > 0 {
+		return
+	}
+	c.release(s)
+	if !s.leaving {
 		delete(c.streams, s.id)
-		delete(c.keys, s.key)
-		if s.order != "" {
-			c.orders.end(s.order, s.id)
-		}
-		if c.witness != nil {
-			c.witness.Done(s.id, c.now)
-		}
+	}
+}
+
+// release frees what no two streams may have at a time.
+func (c *Core) release(s *stream) {
+	if s.released {
+		return
+	}
+	s.released, s.payload = true, nil
+	delete(c.keys, s.key)
+	if s.order != "" {
+		c.orders.end(s.order, s.id)
+	}
+	if c.witness != nil {
+		c.witness.Done(s.id, c.now)
 	}
 }
--- /dev/null
+++ b/internal/faulttest/check_test.go
@@ -0,0 +1,129 @@
+package faulttest
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/standin"
+)
+
+// The terms that each run is judged by, with what sockets and a busy machine are allowed for.
+const (
+	leftSlack     = 100 * time.Millisecond // after a client left, for which an attempt may still begin
+	deadlineSlack = 150 * time.Millisecond // by which the time told to a host may be over what its client has left
+	answerSlack   = 500 * time.Millisecond // after a request's time, for its final answer
+	allowance     = 60 * time.Millisecond  // for clients and hosts of this process to note what they see
+)
+
+// unwanted are lines that no log may hold.
+var unwanted = regexp.MustCompile(`panic:|fatal error|decision module failed|unanswered at its deadline|` +
+	`action not carried out|send for an unknown stream|upstream request without a message|not taken over`)
+
+// trace is what the ingresses' logs tell of a request: the lines that name it, and those of its streams and connections.
+func (w *world) trace(id string) string {
+	var text strings.Builder
+	for _, in := range w.world.Ingresses {
+		log, err := os.ReadFile(in.Log)
+		require.NoError(w.t, err)
+		own := " request=" + id + " "
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, own) || strings.Contains(line, "stood still") || strings.Contains(line, "msg=serving") {
+				text.WriteString(line)
+			}
+		}
+	}
+	return text.String()
+}
+
+// judge checks all terms against what clients, hosts and logs tell.
+func (w *world) judge() {
+	w.t.Helper()
+	w.judgeProcesses()
+	w.judgeAnswers()
+	w.judgeDepartures()
+	w.judgeDeadlines()
+	verdict := w.world.Record.Check(standin.Rules{Window: standin.Window})
+	require.Zero(w.t, verdict.ForbiddenRepeats+verdict.SecondCopies+verdict.LateSends+verdict.OverrunHosts, "%v", verdict.Faults)
+	ran := map[string]int{}
+	for _, run := range w.world.Record.Runs() {
+		if run.Class == "commit" {
+			ran[run.ID]++
+			require.LessOrEqual(w.t, ran[run.ID], 1, "%s must not run twice", run.ID)
+		}
+	}
+}
+
+// judgeProcesses: all run, and none has logged what it must not.
+func (w *world) judgeProcesses() {
+	w.t.Helper()
+	for _, in := range w.world.Ingresses {
+		log, err := os.ReadFile(in.Log)
+		require.NoError(w.t, err)
+		select {
+		case <-in.Ended():
+			require.Fail(w.t, "the process has ended", "%s: %s", in.Name, log)
+		default:
+		}
+		for line := range strings.Lines(string(log)) {
+			require.False(w.t, unwanted.MatchString(line), "%s: %s", in.Name, line)
+		}
+	}
+}
+
+// judgeAnswers: what an ingress took that was there all the while has one whole answer, in time.
+func (w *world) judgeAnswers() {
+	w.t.Helper()
+	served, all := 0, 0
+	for _, a := range w.world.Record.Answers() {
+		if w.wasAway(a.Via, a.Due.Add(-allowance), a.End.Add(allowance)) {
+			continue
+		}
+		require.NotZero(w.t, a.Status, "%s (%s) through n%d, %v after the start: %s\n%s", a.ID, a.Class, a.Via, a.Due.Sub(w.began),
+			a.Lost, w.trace(a.ID))
+		require.False(w.t, a.Twice, a.ID)
+		require.LessOrEqual(w.t, a.End.Sub(a.Due), patience+answerSlack, a.ID)
+		if all++; a.Status == 200 {
+			served++
+		}
+	}
+	require.Positive(w.t, all)
+	w.t.Logf("served %d of %d", served, all)
+	require.Greater(w.t, float64(served), 0.3*float64(all), "faults at some hosts are no reason to serve next to nothing")
+}
+
+// judgeDepartures: no attempt begins long after its client closed its connection.
+func (w *world) judgeDepartures() {
+	w.t.Helper()
+	left := map[string]time.Time{}
+	for _, d := range w.world.Record.Departures() {
+		left[d.ID] = d.Left
+	}
+	for _, run := range w.world.Record.Runs() {
+		if at, gone := left[run.ID]; gone {
+			require.LessOrEqual(w.t, run.At.Sub(at), leftSlack+allowance, "%s began at %s after its client had left\n%s", run.ID,
+				run.Host, w.trace(run.ID))
+		}
+	}
+}
+
+// judgeDeadlines: a host is told at most what the client has left.
+func (w *world) judgeDeadlines() {
+	w.t.Helper()
+	due := map[string]time.Time{}
+	for _, a := range w.world.Record.Answers() {
+		due[a.ID] = a.Due
+	}
+	for _, run := range w.world.Record.Runs() {
+		at, known := due[run.ID]
+		if !known {
+			continue
+		}
+		left := at.Add(patience).Sub(run.At)
+		require.LessOrEqual(w.t, run.Timeout, max(0, left)+deadlineSlack+allowance, "%s at %s, %v after it was due\n%s", run.ID, run.Host,
+			run.At.Sub(at), w.trace(run.ID))
+	}
+}
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -50,6 +50,35 @@
 	src   *loop.Source
 	addr  string
 	front Front
+	// waiting is since when connections may wait to be accepted, 0: none does that is known of. At watched that was last
+	// to be learnt from the system, which tells it at once.
+	waiting, watched time.Duration
+}
+
+// late is how long a connection that is accepted now may have waited.
+func (ln *listener) late() time.Duration {
+	if ln.waiting == 0 {
+		return ln.s.loop.Late()
+	}
+	return ln.s.loop.Now() - ln.waiting
+}
+
+// leave notes that connections may be left waiting.
+func (ln *listener) leave() {
+	ln.watched = ln.s.loop.Now()
+	if ln.waiting == 0 {
+		ln.waiting = ln.watched - ln.s.loop.Late()
+	}
+}
+
+// toldAtOnce is the time after which the system has surely told of connections that were left waiting.
+const toldAtOnce = 10 * time.Millisecond
+
+// expire forgets that connections may wait where none was told of at once: those that come now have just come.
+func (ln *listener) expire() {
+	if !ln.s.paused && ln.s.loop.Now()-ln.watched > ln.s.loop.Late()+toldAtOnce {
+		ln.waiting = 0
+	}
 }
 
 // New returns a server without listeners.
@@ -85,35 +114,58 @@
 }
 
 // Ready accepts what waits, up to a bound: those who connect by the hundred must not keep the others' answers.
-func (ln *listener) Ready(uint32) { ln.accept(ln.s.lim.Accepts) }
+// After a time in which the process stood still all are taken: what they have sent meanwhile is as old as that.
+func (ln *listener) Ready(uint32) {
+	most := ln.s.lim.Accepts
+	if ln.s.loop.Late() > 0 {
+		most = ln.s.lim.Downstream
+	}
+	ln.accept(most)
+}
 
 func (ln *listener) accept(most int) {
 	s := ln.s
+	ln.expire()
 	for range most {
 		if s.held {
-			return
+			break
 		}
 		if len(s.conns)+s.elsewhere >= s.lim.Downstream && !s.makeRoom() {
 			s.pause("all connections busy")
-			return
+			break
 		}
 		fd, err := loop.Accept(ln.src.FD())
-		switch {
-		case errors.Is(err, loop.ErrAgain):
+		if errors.Is(err, loop.ErrAgain) {
+			ln.waiting = 0
 			return
-		case loop.OutOfDescriptors(err) && s.makeRoom(): // they are this process's: one less helps
+		}
+		if loop.OutOfDescriptors(err) && s.makeRoom() { // they are this process's: one less helps
 			continue
-		case err != nil: // the machine is short of something: the connections that there are stay
-			s.pause(err.Error())
-			return
 		}
-		c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes), since: s.loop.Now(),
-			opened: s.loop.Now(), moved: s.loop.Now()}
-		if err := s.enter(c, fd); err != nil {
+		if err == nil {
+			err = ln.open(fd)
+		}
+		if err != nil { // the machine is short of something: the connections that there are stay
 			s.pause(err.Error())
-			return
+			break
 		}
 	}
+	ln.leave()
+}
+
+// open begins a connection. One that may have waited is read at once: in the next turn nothing would tell how old is what
+// it has sent.
+func (ln *listener) open(fd int) error {
+	s, now := ln.s, ln.s.loop.Now()
+	c := &Conn{s: s, ln: ln, parser: http1.NewRequestParser(s.lim.HeadBytes, s.lim.BodyBytes, s.lim.KeepBytes), since: now,
+		opened: now, moved: now}
+	if err := s.enter(c, fd); err != nil {
+		return err
+	}
+	if late := ln.late(); late > 0 {
+		c.readLate(late)
+	}
+	return nil
 }
 
 // enter watches a connection's descriptor, or closes it.
@@ -244,7 +296,28 @@
 
 // read takes what one read brings, and no more than there is room for: the others have their turns, and hundreds that
 // begin long bodies at one instant must not hold the first piece of each at its largest.
-func (c *Conn) read() {
+func (c *Conn) read() { c.readLate(c.s.loop.Late()) }
+
+// lateReads is how much more is read, in reads, of what had to wait: its client's end may be right behind, and it had its
+// time to go.
+const lateReads = 8
+
+// readLate reads what may have come so much earlier. Of that nothing is begun before it is known whether its client is still
+// there.
+func (c *Conn) readLate(late time.Duration) {
+	got, stands := c.take(late)
+	for n := 0; stands && got && late > 0 && c.up == nil && n < lateReads; n++ {
+		got, stands = c.take(late)
+	}
+	if !stands {
+		return
+	}
+	c.upload()
+	c.parse()
+}
+
+// take reads once. It tells whether anything came, and whether the connection still stands.
+func (c *Conn) take(late time.Duration) (got, stands bool) {
 	most := c.s.lim.HeadBytes
 	if c.up != nil {
 		most = max(1, c.up.pipe.Room())
@@ -253,26 +326,26 @@
 	n, err := loop.Read(c.src.FD(), buf[:min(len(buf), most)])
 	if err != nil && !errors.Is(err, loop.ErrAgain) { // gone, whether with EOF or a reset
 		c.gone(closeReason(err.Error()))
-		return
+		return false, false
 	}
-	if n > 0 {
-		c.moved = c.s.loop.Now()
-		if !c.busy && !c.parser.Begun() {
-			c.since = c.moved
-		}
-		d := 0
-		if c.up != nil {
-			d = c.parser.Direct(buf[:n])
-			c.up.got += d
-			c.up.pipe.Put(buf[:d])
-		}
-		if d < n && !c.tooMuch(n-d) {
-			c.parser.Feed(buf[d:n])
-			c.arrivals.came(n-d, c.moved-c.s.loop.Late())
-		}
+	if n == 0 {
+		return false, true
 	}
-	c.upload()
-	c.parse()
+	c.moved = c.s.loop.Now()
+	if !c.busy && !c.parser.Begun() {
+		c.since = c.moved
+	}
+	d := 0
+	if c.up != nil {
+		d = c.parser.Direct(buf[:n])
+		c.up.got += d
+		c.up.pipe.Put(buf[:d])
+	}
+	if d < n && !c.tooMuch(n-d) {
+		c.parser.Feed(buf[d:n])
+		c.arrivals.came(n-d, c.moved-late)
+	}
+	return true, true
 }
 
 // parse hands on the next request, and the next again if it was answered at once.
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -55,9 +55,7 @@
 // Release accepts and reads again.
 func (s *Server) Release() {
 	s.held, s.hand, s.paused = false, nil, false
-	for _, ln := range s.listeners {
-		ln.src.Want(loop.In)
-	}
+	s.listen()
 	for _, c := range s.all() {
 		c.parse()
 	}
--- a/internal/net/downstream/room.go
+++ b/internal/net/downstream/room.go
@@ -86,8 +86,14 @@
 func (s *Server) resume() {
 	if s.paused && !s.closed && !s.held {
 		s.paused = false
-		for _, ln := range s.listeners {
-			ln.src.Want(loop.In)
-		}
+		s.listen()
+	}
+}
+
+// listen watches the listeners again.
+func (s *Server) listen() {
+	for _, ln := range s.listeners {
+		ln.watched = s.loop.Now()
+		ln.src.Want(loop.In)
 	}
 }
--- a/internal/net/loop/injected_faults.go
+++ b/internal/net/loop/injected_faults.go
@@ -17,7 +17,8 @@
 // FaultVariable names the environment variable that tells a fault-injecting build what to fail: pairs "name=value" with
 // commas between. seed is of the random numbers; accept, socket, connect, interrupt, short and broken are the parts of the
 // calls that fail, from 0 to 1; from and until bound the time in which they do, counted from the start of the process;
-// step sets the wall clock by so much at the time from.
+// step sets the wall clock by so much at the time from. Connections of the local port spare are not broken: their loss is
+// seen by clients, which no ingress can make good.
 const FaultVariable = "FERRYFRONT_FAULTS"
 
 // injector decides which calls fail. It is called by the loop's goroutine and by those that post to it.
@@ -28,6 +29,7 @@
 	began       time.Time
 	from, until time.Duration
 	step        time.Duration
+	spare       int
 }
 
 func init() {
@@ -58,6 +60,8 @@
 			f.until, err = time.ParseDuration(value)
 		case "step":
 			f.step, err = time.ParseDuration(value)
+		case "spare":
+			f.spare, err = strconv.Atoi(value)
 		case "accept", "socket", "connect", "interrupt", "short", "broken":
 			f.parts[name], err = strconv.ParseFloat(value, 64)
 		default:
@@ -138,7 +142,7 @@
 		switch {
 		case f.fails("interrupt"):
 			return -1, unix.EINTR
-		case f.fails("broken") && isConnection(fd):
+		case f.fails("broken") && isConnection(fd) && localPort(fd) != f.spare:
 			return -1, f.one(unix.ETIMEDOUT, unix.EHOSTUNREACH)
 		case len(b) > 1 && f.fails("short") && isConnection(fd):
 			return real(fd, f.some(b))
@@ -147,6 +151,16 @@
 	}
 }
 
+// localPort is that of a socket over IPv4, 0 of any other descriptor.
+func localPort(fd int) int {
+	if sa, err := unix.Getsockname(fd); err == nil {
+		if sa, ok := sa.(*unix.SockaddrInet4); ok {
+			return sa.Port
+		}
+	}
+	return 0
+}
+
 // isConnection tells a TCP connection from the descriptors of the loop's own.
 func isConnection(fd int) bool {
 	_, err := unix.Getpeername(fd)
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -64,7 +64,7 @@
 	firsts      bool          // some source is to be served first
 	lasts       bool          // some source of this turn is to be served last
 	polled      time.Duration // when the last turn's descriptors were gathered
-	late        time.Duration // see Late
+	stalled     time.Duration // when the process began to stand still, until all that came meanwhile is read; 0: it did not
 	turnStart   func(now time.Duration)
 	posted      chan func()
 	buf         []byte
@@ -129,8 +129,14 @@
 }
 
 // Late is how long what is read in this turn may have waited to be read: 0 unless the process stood still, as when it was
-// stopped and continued. The time that a peer gives for an answer began when it sent its request.
-func (l *Loop) Late() time.Duration { return l.late }
+// stopped and continued, and has not read all since. The time that a peer gives for an answer began when it sent its
+// request.
+func (l *Loop) Late() time.Duration {
+	if l.stalled == 0 {
+		return 0
+	}
+	return l.now - l.stalled
+}
 
 // Stalled tells whether the process stood still within this turn: what was found at its beginning may not be so any more,
 // and nothing should be begun that rests on it.
@@ -287,16 +293,17 @@
 func (l *Loop) Run(t Turner) error {
 	var next time.Duration
 	for !l.stopped {
-		n, err := system.wait(l.epoll, l.ready, l.wait(next))
-		if err != nil && !errors.Is(err, unix.EINTR) {
+		asked := l.clock()
+		n, err := l.gather(l.wait(next))
+		if err != nil {
 			return fmt.Errorf("epoll: %w", err)
 		}
 		l.tick()
-		l.gathered()
+		l.gathered(n, l.now-asked)
 		if l.turnStart != nil {
 			l.turnStart(l.now)
 		}
-		l.serveAll(l.ready[:max(n, 0)])
+		l.serveAll(l.ready[:n])
 		for more := true; more; {
 			select {
 			case fn := <-l.posted:
@@ -319,11 +326,33 @@
 	return nil
 }
 
-// gathered notes when a turn's descriptors were gathered, and whether the process stood still before that.
-func (l *Loop) gathered() {
-	l.late = 0
-	if gap := l.now - l.polled; gap > stalledAfter {
-		l.late = gap
+// gatherTries is how often in a row a wait may be interrupted before the turn goes on without descriptors.
+const gatherTries = 100
+
+// gather waits for descriptors, for so many milliseconds at the most. A wait that was interrupted is followed by a look at
+// what is ready: it is interrupted when the process goes on after it was stopped, and a turn without the news that has come
+// meanwhile would begin what that forbids.
+func (l *Loop) gather(milliseconds int) (n int, err error) {
+	for range gatherTries {
+		if n, err = system.wait(l.epoll, l.ready, milliseconds); !errors.Is(err, unix.EINTR) {
+			return max(n, 0), err
+		}
+		milliseconds = 0
+	}
+	return 0, nil
+}
+
+// blocked is the time that a wait takes at least which found nothing ready at first.
+const blocked = time.Millisecond
+
+// gathered notes when a turn's descriptors were gathered, so many after such a wait, and whether the process stood still
+// before that. It has read all that came meanwhile once there is nothing ready.
+func (l *Loop) gathered(n int, waited time.Duration) {
+	switch {
+	case l.now-l.polled > stalledAfter:
+		l.stalled = l.polled
+	case n == 0 || waited >= blocked:
+		l.stalled = 0
 	}
 	l.polled = l.now
 }
--- a/internal/net/loop/sock.go
+++ b/internal/net/loop/sock.go
@@ -98,20 +98,20 @@
 // descriptors of the turn.
 const acceptTries = 16
 
-// Accept takes one waiting connection; ErrAgain when there is none, or when so many have been broken off before they were
-// taken that the others are to have their turn first. See [OutOfDescriptors] and [OutOfResources] for its other errors.
-func Accept(fd int) (int, error) {
+// Accept takes one waiting connection; ErrAgain when there is none. Its other errors are such that it should be called
+// again after a while, see [OutOfDescriptors].
+func Accept(fd int) (c int, err error) {
 	for range acceptTries {
-		c, err := system.accept(fd)
+		c, err = system.accept(fd)
 		if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
 			continue
 		}
 		if err == nil {
 			noDelay(c)
 		}
-		return c, err
+		break
 	}
-	return -1, ErrAgain
+	return c, err
 }
 
 // noDelay: answers are written whole, so waiting for more would only hold them up.
--- a/internal/standin/clients.go
+++ b/internal/standin/clients.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -125,6 +126,29 @@
 	return got
 }
 
+// DoAndLeave sends a request on a connection of its own, closes that after a time unless the answer has come by then, and
+// notes when it did.
+func (c *Clients) DoAndLeave(a Ask, after time.Duration) {
+	conn, err := net.DialTimeout("tcp", c.Addr, c.Wait)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, a.text(c.Wait)); err != nil {
+		return
+	}
+	if conn.SetReadDeadline(time.Now().Add(after)) != nil {
+		return
+	}
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	_ = conn.Close()
+	c.Record.mu.Lock()
+	defer c.Record.mu.Unlock()
+	c.Record.left = append(c.Record.left, Departure{a.ID, time.Now()})
+}
+
 // one makes one try. crossed tells that the connection had been used and has ended without a byte of answer.
 func (c *Clients) one(conn *clientConn, a Ask, deadline time.Time, got *Answer) (crossed bool, err error) {
 	if err := conn.SetDeadline(deadline); err != nil {
--- a/internal/standin/hosts.go
+++ b/internal/standin/hosts.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"path"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,6 +25,8 @@
 	Work       time.Duration // of a request, in the mean
 	ColdFor    time.Duration // from Boot until it is warm; 0: it is
 	ColdFrom   float64       // part of its capacity at Boot
+	Advertise  string        // address that discovery tells, such as a proxy's; empty: where it listens
+	Apart      bool          // what it is sent is not noted in the world's record: a proxy may bring it late
 
 	record *Record
 	cells  *cells
@@ -61,6 +65,9 @@
 }
 
 func (h *Host) start(r *Record, c *cells) error {
+	if h.Apart {
+		r = NewRecord()
+	}
 	h.mu.Lock()
 	h.record, h.cells, h.slow, h.boot = r, c, 1, time.Now()
 	if h.freed == nil { // at a restart, some may still wait
@@ -168,6 +175,16 @@
 	return float64(len(h.sent)) > fallMultiple*can+8 // a little for chance
 }
 
+// requestTimeout is what an ingress says it will wait, in whole milliseconds; 0: nothing that can be read.
+func requestTimeout(r *http.Request) time.Duration {
+	digits, _ := strings.CutSuffix(r.Header.Get("Request-Timeout"), "m")
+	milliseconds, err := strconv.ParseInt(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // ServeHTTP works on a request.
 func (h *Host) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -179,7 +196,7 @@
 	}
 	now := time.Now()
 	run := &Run{ID: r.Header.Get("Request-Id"), Key: r.Header.Get("Idempotency-Key"), Customer: path.Base(r.URL.Path),
-		Class: r.URL.Query().Get("class"), Host: h.Name, Cell: h.Cell, At: now}
+		Class: r.URL.Query().Get("class"), Host: h.Name, Cell: h.Cell, At: now, Timeout: requestTimeout(r)}
 	h.mu.Lock()
 	if h.overrun(now) && !h.fallen {
 		h.fallen = true
--- a/internal/standin/record.go
+++ b/internal/standin/record.go
@@ -16,9 +16,10 @@
 	Class             string
 	Host              string
 	Cell              int
-	At                time.Time // its last byte came
-	Out               time.Time // it was answered, or its connection ended
-	Dropped           bool      // known as a repeat by the cell, and not done again
+	At                time.Time     // its last byte came
+	Out               time.Time     // it was answered, or its connection ended
+	Timeout           time.Duration // that the ingress said it would wait, 0: nothing was said
+	Dropped           bool          // known as a repeat by the cell, and not done again
 }
 
 // Answer is what a client got for one request.
@@ -33,6 +34,12 @@
 	Resent            bool   // its connection was closed before it was read
 }
 
+// Departure is a request whose client closed its connection before it was answered.
+type Departure struct {
+	ID   string
+	Left time.Time
+}
+
 // Record is the notes of one world. It is safe for use by many.
 type Record struct {
 	mu      sync.Mutex
@@ -41,7 +48,8 @@
 	drained map[string]time.Time // hosts that were told to drain
 	late    []string             // sends after that
 	fell    []string             // cold hosts that were overrun
-	dials   int                  // connections that hosts have taken
+	left    []Departure
+	dials   int // connections that hosts have taken
 }
 
 // NewRecord returns empty notes.
@@ -73,6 +81,13 @@
 	r.answers = append(r.answers, a)
 }
 
+// Departures are those so far.
+func (r *Record) Departures() []Departure {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.left)
+}
+
 // Dials tells how many connections hosts have taken: each costs a host a handshake.
 func (r *Record) Dials() int {
 	r.mu.Lock()
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -194,7 +195,7 @@
 func (d *Discovery) Set(h *Host, state string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	e := entry{ID: h.Name, Addr: h.Addr(), Zone: h.Zone, Kind: "std-2c", Cell: h.Cell, State: state, Weight: 1}
+	e := entry{ID: h.Name, Addr: cmp.Or(h.Advertise, h.Addr()), Zone: h.Zone, Kind: "std-2c", Cell: h.Cell, State: state, Weight: 1}
 	if boot := h.Boot(); !boot.IsZero() {
 		e.Started = boot.UnixMilli()
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -45,6 +45,11 @@
 	Replicas         func(me int) []string // of the control group, as an ingress reaches them; nil: there is none
 	Bare             bool                  // without settings of the program's own, and so without a control socket
 
+	Args []string // more arguments of an ingress
+
+	// Env is more environment of an ingress, by its number and address; nil: none.
+	Env func(me int, addr string) []string
+
 	// Adjust changes the configuration of an ingress before its start, by its number; nil: nothing is changed.
 	Adjust func(me int, config, settings map[string]any)
 }
@@ -156,9 +161,13 @@
 		return nil, err
 	}
 	in.env = append(os.Environ(), "GW_CONFIG="+in.config)
+	if s.Env != nil {
+		in.env = append(in.env, s.Env(me, in.Addr)...)
+	}
 	if in.Args = []string{"serve", "--config", own}; s.Bare {
 		in.Args = in.Args[:1]
 	}
+	in.Args = append(in.Args, s.Args...)
 	if err := in.run(); err != nil {
 		return nil, err
 	}
