Core: tests of a send that crosses its client's leaving, and of actions that bring a request

Cause: both orders were found by the fault tests or by reading for the incident's class. Change: tests only.

--- a/internal/core/crossing_test.go
+++ b/internal/core/crossing_test.go
@@ -202,3 +202,54 @@
 		}
 	}
 }
+
+// A client leaves in the turn in which the module, by an event that came before, sends its request on: the send is not
+// carried out, and has its answer, as each send has.
+func TestASendCrossesItsClientsLeaving(t *testing.T) {
+	c, s, w, _ := setUp(func(ev admission.Event) []admission.Action {
+		if k, ok := ev.(admission.CounterAnswered); ok {
+			return []admission.Action{admission.Send{ID: 1, Server: k.Name}}
+		}
+		return nil
+	})
+	id := c.Arrive(0, w.request(100*ms))
+	c.Turn(0)
+	c.Counted(admission.CounterAnswered{Name: "h"})
+	c.Leave(ms, id)
+	require.Zero(t, c.Open())
+	c.Turn(ms)
+	c.Turn(ms)
+	require.Empty(t, w.told, "nothing was begun")
+	last := s.seen[len(s.seen)-1]
+	require.Equal(t, admission.AttemptEnded{ID: id, Server: "h", Outcome: admission.NotSent, Done: true}, last)
+	require.Zero(t, c.Streams())
+}
+
+// What is answered as actions are carried out brings the next request of its connection, with the key of one whose client
+// has left: the module is given no event before all actions are carried out, since it reuses their slice.
+func TestActionsAreCarriedOutBeforeTheModuleIsAskedAgain(t *testing.T) {
+	c, s, w, _ := setUp(func(ev admission.Event) []admission.Action {
+		if r, ok := ev.(admission.RequestArrived); ok && r.ID == 1 {
+			return []admission.Action{admission.Send{ID: r.ID, Server: "h"}}
+		}
+		return nil
+	})
+	c.orders.windows = []time.Duration{time.Second}
+	r := w.request(100 * ms)
+	r.Order = "k"
+	left := c.Arrive(0, r)
+	next := w.request(100 * ms)
+	next.Owner = onEnd(func() { c.Arrive(0, r) })
+	other := c.Arrive(0, next)
+	c.Turn(0)
+	seen := len(s.seen)
+	c.Leave(0, left)
+	c.Do([]admission.Action{admission.Refuse{ID: other}, admission.CounterAdd{Name: "a"}})
+	require.Len(t, s.seen, seen, "the module was asked within its own actions")
+}
+
+// onEnd is an owner that does something when its stream ends.
+type onEnd func()
+
+// End does it.
+func (f onEnd) End(End) { f() }
