Control replicas: a disk that can't be written for a while no longer ends the process

Cause: raft ends the process when its term can't be saved (panic in setCurrentTerm), so a full or failing disk (ENOSPC, EIO) took replicas down, all of a group at once where they share a disk. Change: the stable store tries a write until it is done, and says so every 10 s; meanwhile the replica stands still. A seam for the disk in the configuration, for tests.

--- a/internal/controlserver/node.go
+++ b/internal/controlserver/node.go
@@ -52,10 +52,13 @@
 	if err := os.MkdirAll(cfg.Data, 0o700); err != nil {
 		return nil, err
 	}
-	store, err := openStore(cfg.Data)
+	store, err := openStore(cfg.Data, log)
 	if err != nil {
 		return nil, err
 	}
+	if cfg.disk != nil {
+		store.bolt = cfg.disk(store.bolt)
+	}
 	n := &node{id: raft.ServerID(cfg.ID), store: store, gate: newVotingGate()}
 	if err := n.start(cfg, listener, machine, log); err != nil {
 		return nil, errors.Join(err, store.Close())
--- a/internal/controlserver/server.go
+++ b/internal/controlserver/server.go
@@ -37,6 +37,8 @@
 	Election   Election
 	RejoinWait time.Duration // see DefaultRejoinWait
 	Log        *slog.Logger
+
+	disk func(durableStore) durableStore // of tests: what lies between the replica and its disk, nil: nothing
 }
 
 // DefaultRejoinWait is how long a restarted replica waits for a leader, or for word of all other replicas, before it
--- a/internal/controlserver/store.go
+++ b/internal/controlserver/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"runtime/debug"
@@ -31,12 +32,20 @@
 // checkedStore is raft's log and stable store in one bbolt file. bbolt has checksums of its two meta pages only, so
 // each record gets one here.
 type checkedStore struct {
-	bolt     *raftboltdb.BoltStore
+	bolt     durableStore
+	log      *slog.Logger
 	commands atomic.Bool // a command was ever in the log, committed or not
 }
 
+// durableStore is what lies on the disk. Tests put one between that fails.
+type durableStore interface {
+	raft.LogStore
+	raft.StableStore
+	Close() error
+}
+
 // openStore opens or creates the store in a directory, and reads all of it once to find damage before raft acts on it.
-func openStore(dir string) (*checkedStore, error) {
+func openStore(dir string, log *slog.Logger) (*checkedStore, error) {
 	path := filepath.Join(dir, storeFile)
 	if err := checkFile(path); err != nil {
 		return nil, err
@@ -45,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &checkedStore{bolt: bolt}
+	s := &checkedStore{bolt: bolt, log: log}
 	if err := s.checkLog(); err != nil {
 		_ = bolt.Close()
 		return nil, fmt.Errorf("%s: %w: %w", path, err, ErrDamagedStore)
@@ -205,9 +214,29 @@
 	return xxhash.Sum64(append(b, log.Extensions...))
 }
 
-// Set implements raft.StableStore.
+// retryWrite is the time between two tries of a write that raft can't go on without, logWrite between two lines that say so.
+const (
+	retryWrite = 50 * time.Millisecond
+	logWrite   = 10 * time.Second
+)
+
+// Set implements raft.StableStore. It holds raft's term and vote: without its promise on the disk a replica must not go on,
+// and raft ends the process where it can't be written. A disk may be full, or fail, for a while, so it is tried until it is
+// written; meanwhile this replica does nothing, as one that stands still.
 func (s *checkedStore) Set(key, value []byte) error {
-	return s.bolt.Set(key, binary.BigEndian.AppendUint64(append([]byte(nil), value...), valueChecksum(key, value)))
+	summed := binary.BigEndian.AppendUint64(append([]byte(nil), value...), valueChecksum(key, value))
+	var logged time.Time
+	for {
+		err := s.bolt.Set(key, summed)
+		if err == nil || errors.Is(err, bbolterrors.ErrDatabaseNotOpen) {
+			return err
+		}
+		if time.Since(logged) > logWrite {
+			logged = time.Now()
+			s.log.Error("store can't be written; this replica waits for its disk", "key", string(key), "error", err)
+		}
+		time.Sleep(retryWrite)
+	}
 }
 
 // Get implements raft.StableStore.
--- a/internal/controlserver/store_test.go
+++ b/internal/controlserver/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -15,7 +16,7 @@
 func TestTheStoreKeepsWhatRaftGivesIt(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	s, err := openStore(dir)
+	s, err := openStore(dir, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	require.False(t, s.commands.Load())
 	entries := []*raft.Log{{Index: 1, Term: 1, Type: raft.LogConfiguration, Data: []byte("c")},
@@ -25,7 +26,7 @@
 	require.NoError(t, s.SetUint64([]byte("term"), 7))
 	require.NoError(t, s.Set([]byte("vote"), nil))
 	require.NoError(t, s.Close())
-	s, err = openStore(dir)
+	s, err = openStore(dir, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	require.True(t, s.commands.Load())
 	var entry raft.Log
@@ -35,7 +36,7 @@
 	term, err := s.GetUint64([]byte("term"))
 	require.NoError(t, err)
 	require.Equal(t, uint64(7), term)
-	_, err = openStore(dir)
+	_, err = openStore(dir, slog.New(slog.DiscardHandler))
 	require.ErrorContains(t, err, "in use by another process")
 	require.NotErrorIs(t, err, ErrDamagedStore)
 	require.NoError(t, s.Close())
@@ -46,7 +47,7 @@
 func TestADamagedStoreIsRefusedOrWhole(t *testing.T) {
 	t.Parallel()
 	dir := t.TempDir()
-	s, err := openStore(dir)
+	s, err := openStore(dir, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	for i := range uint64(200) {
 		require.NoError(t, s.StoreLog(&raft.Log{Index: i + 1, Term: 1, Type: raft.LogCommand, Data: entryData(i + 1)}))
@@ -59,7 +60,7 @@
 	try := func(what string, content []byte) {
 		dir := t.TempDir()
 		require.NoError(t, os.WriteFile(filepath.Join(dir, storeFile), content, 0o600))
-		s, err := openStore(dir)
+		s, err := openStore(dir, slog.New(slog.DiscardHandler))
 		if err != nil {
 			require.ErrorIs(t, err, ErrDamagedStore, what)
 			refused++
