Reload: a counter that comes with new settings, and a file that can't be read for a moment

A process begun without a counter gave its module's calls to nobody when new settings named one, and each waited for an answer for good; a reload whose file could not be read once was lost. Change: the client of the counter is opened by the reload; reads that fail for a passing reason are tried for a second.

--- a/cmd/ferryfront/reload_succession_test.go
+++ b/cmd/ferryfront/reload_succession_test.go
@@ -45,3 +45,27 @@
 	}
 	require.NoError(t, syscall.Kill(w.cmd.Process.Pid, 0))
 }
+
+// A new configuration says that there is a counter where there was none: its calls are made from then on, and another that
+// says there is none ends that.
+func TestACounterThatComesAndGoes(t *testing.T) {
+	w := newWorld(t).withDoor()
+	door := w.change
+	w.change = func(config, settings map[string]any) {
+		door(config, settings)
+		settings["extra"].(obj)["hasCounter"] = false
+	}
+	w.start()
+	ask := func() { require.Equal(t, 200, w.get(w.request("GET", "", "stock", nil)).status) }
+	ask()
+	require.Zero(t, w.numbers.Calls())
+	w.settings()["extra"].(obj)["hasCounter"] = true
+	require.True(t, w.reload())
+	w.until(func() bool { ask(); return w.numbers.Calls() > 0 })
+	w.settings()["extra"].(obj)["hasCounter"] = false
+	require.True(t, w.reload())
+	ask()
+	calls := w.numbers.Calls()
+	ask()
+	require.Equal(t, calls, w.numbers.Calls())
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"os"
 	"reflect"
 	"strconv"
 	"time"
@@ -76,7 +75,7 @@
 	if path == "" {
 		return Config{}, errors.New("GW_CONFIG is not set")
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := readFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("GW_CONFIG: %w", err)
 	}
