Hand-over: no memory for a message is no end of the other side; routes are read anew after a disk error

ENOBUFS and ENOMEM of sendmsg dropped all that was queued, client connections among it; a description that could not be read once was not read again before it changed. Change: such errors wait for the next turn; the stamp of a file that could not be read is forgotten. Measured: TestMessagesThatThereIsNoMemoryForYet fails without it.

--- a/internal/front/openapi/reload.go
+++ b/internal/front/openapi/reload.go
@@ -1,6 +1,7 @@
 package openapi
 
 import (
+	"errors"
 	"log/slog"
 	"os"
 	"time"
@@ -53,6 +54,9 @@
 		table, err := r.File.Load(*r.Settings())
 		if err != nil {
 			r.Log.Error("routes not reloaded", "error", err)
+			if system := (*os.PathError)(nil); errors.As(err, &system) { // of the disk, not of the description: looked at anew
+				was = Stamp{}
+			}
 			continue
 		}
 		r.Log.Info("routes reloaded", "routes", len(table.All()))
--- a/internal/handover/conn.go
+++ b/internal/handover/conn.go
@@ -45,6 +45,9 @@
 	gone  bool   // told as lost
 	room  []byte
 	oob   []byte
+
+	// sendMessage is the system call; tests put one in its place that fails.
+	sendMessage func(fd int, b, oob []byte, to unix.Sockaddr, flags int) (int, error)
 }
 
 type packet struct {
@@ -67,7 +70,7 @@
 		return nil, fmt.Errorf("handover: descriptor %d: %w", fd, err)
 	}
 	unix.CloseOnExec(fd)
-	c := &Conn{loop: l, lim: lim, sink: s, room: make([]byte, packetBytes+1), oob: make([]byte, unix.CmsgSpace(4*fdsMost))}
+	c := &Conn{loop: l, lim: lim, sink: s, sendMessage: unix.SendmsgN, room: make([]byte, packetBytes+1), oob: make([]byte, unix.CmsgSpace(4*fdsMost))}
 	var err error
 	if c.src, err = l.Watch(fd, loop.In|loop.Hangup, c); err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
@@ -151,11 +154,11 @@
 		if len(p.fds) > 0 {
 			oob = unix.UnixRights(p.fds...)
 		}
-		_, err := unix.SendmsgN(c.src.FD(), p.b, oob, nil, unix.MSG_NOSIGNAL)
+		_, err := c.sendMessage(c.src.FD(), p.b, oob, nil, unix.MSG_NOSIGNAL)
 		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.ETOOMANYREFS) { // the other side has yet to take some
+		if errors.Is(err, unix.ETOOMANYREFS) || loop.OutOfResources(err) { // the other side, or the machine, has yet to make room
 			break
 		}
 		if err != nil { // the other side has ended; reading tells so, after what it has still said
@@ -199,7 +202,7 @@
 		switch {
 		case errors.Is(err, unix.EINTR):
 			continue
-		case errors.Is(err, unix.EAGAIN):
+		case loop.OutOfResources(err): // nothing is there, or no memory for it yet
 			return false
 		case errors.Is(err, unix.ECONNRESET): // it has died with something unread: no less an end
 			c.lose(io.EOF)
--- a/internal/handover/conn_test.go
+++ b/internal/handover/conn_test.go
@@ -126,3 +126,28 @@
 	require.EqualValues(t, 1, b.got[0].GetHello().GetProtocol())
 	require.NotEmpty(t, b.got[0].ProtoReflect().GetUnknown())
 }
+
+// The machine has no memory for a message for a moment: that is no end of the other side, and every message comes, each
+// once and in order.
+func TestMessagesThatThereIsNoMemoryForYet(t *testing.T) {
+	l, a, b, _ := ends(t, 1<<20)
+	calls := 0
+	a.sendMessage = func(fd int, data, oob []byte, to unix.Sockaddr, flags int) (int, error) {
+		if calls++; calls%3 != 0 {
+			return 0, []unix.Errno{unix.ENOBUFS, unix.ENOMEM}[calls%2]
+		}
+		return unix.SendmsgN(fd, data, oob, to, flags)
+	}
+	const messages = 10
+	b.want = messages
+	for i := range messages {
+		a.Send(&pb.Envelope{Body: &pb.Envelope_Done{Done: &pb.StreamDone{Stream: uint64(i)}}})
+	}
+	l.After(5*time.Second, l.Stop)
+	require.NoError(t, l.Run(b))
+	require.NoError(t, b.err)
+	require.Len(t, b.got, messages)
+	for i, m := range b.got {
+		require.Equal(t, uint64(i), m.GetDone().GetStream())
+	}
+}
