Start: SIGHUP is taken from the program's first initialization on

Cause: found by reading signals for the incident's neighbours. A reload that came in the some 50 ms between the start of the process and signal.Notify ended it, SIGHUP's default. A crowd of SIGHUPs could crowd a SIGTERM out of their common channel. Change: a package without dependencies notifies in its init; SIGHUP has a channel of its own.

--- a/cmd/ferryfront/reload_succession_test.go
+++ b/cmd/ferryfront/reload_succession_test.go
@@ -69,3 +69,27 @@
 	ask()
 	require.Equal(t, calls, w.numbers.Calls())
 }
+
+// runtimeStarts is the time in which a process that was started can't take any signal yet: its program has no say before the
+// language's runtime runs.
+const runtimeStarts = 12 * time.Millisecond
+
+// A process is told to read its configuration again while it starts: it comes up and reads it.
+func TestReloadsWhileAProcessStarts(t *testing.T) {
+	w := newWorld(t).withDoor().start()
+	w.signal(syscall.SIGTERM)
+	require.Zero(t, w.ends())
+	for range 5 {
+		w.launch()
+		time.Sleep(runtimeStarts)
+		stop := time.Now().Add(150 * time.Millisecond)
+		for time.Now().Before(stop) {
+			w.signal(syscall.SIGHUP)
+			time.Sleep(500 * time.Microsecond)
+		}
+		w.until(w.ready)
+		w.until(func() bool { return w.figures()["app_reconfig_ok"] > 0 })
+		w.signal(syscall.SIGTERM)
+		require.Zero(t, w.ends())
+	}
+}
--- a/cmd/ferryfront/serve.go
+++ b/cmd/ferryfront/serve.go
@@ -17,6 +17,7 @@
 
 	"ferryfront.example/ferryfront/internal/config"
 	"ferryfront.example/ferryfront/internal/daemon"
+	"ferryfront.example/ferryfront/internal/earlysignals"
 	"ferryfront.example/ferryfront/internal/front/openapi"
 )
 
@@ -57,8 +58,8 @@
 			_, _ = sdnotify.SdNotify(false, strings.Join(state, "\n"))
 		}
 		signals := make(chan os.Signal, 4)
-		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR2)
-		o.Signals = signals
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR2)
+		o.Signals, o.Hangups = signals, earlysignals.Hangups
 		return daemon.Run(o)
 	}
 	return c
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	ControlReplicas []string
 	Limit           func(*limits.Limits)  // changes bounds as the program's own settings say, nil: none
 	Signals         <-chan os.Signal      // SIGTERM and SIGINT end, SIGHUP reloads, SIGUSR2 upgrades
+	Hangups         <-chan os.Signal      // SIGHUP alone, nil: it comes with the others, which a crowd of it may crowd out
 	Notify          func(state ...string) // tells the service manager, see sd_notify(3)
 	Getenv          func(string) string   // environment
 	Embedded        *Embedded             // where the process holds other daemons, too; nil: it has the process to itself
@@ -78,11 +79,16 @@
 	if err != nil {
 		return err
 	}
-	go func() {
-		for s := range o.Signals {
-			d.signal(s)
+	for _, signals := range []<-chan os.Signal{o.Signals, o.Hangups} {
+		if signals == nil {
+			continue
 		}
-	}()
+		go func() {
+			for s := range signals {
+				d.signal(s)
+			}
+		}()
+	}
 	o.Embedded.attach(d)
 	err = errors.Join(d.loop.Run(d), d.fault)
 	if o.Embedded == nil {
