Tests: news before timers after an interrupted wait, an end behind a body without room, stops without a counter

Change: a unit test each; TestStoppedAndContinued asks without a counter, whose answer hid what was begun too early.

--- a/internal/faulttest/single_test.go
+++ b/internal/faulttest/single_test.go
@@ -45,7 +45,10 @@
 // when it goes on, and hosts are told what is left.
 func TestStoppedAndContinued(t *testing.T) {
 	w := newWorld(t, 2, none)
-	w.run(6*time.Second, 150, 2, func() {
+	for ingress := range w.clients { // without a counter nothing is waited for between a request's reading and its sending
+		w.reload(ingress, func(_, settings map[string]any) { settings["extra"].(map[string]any)["hasCounter"] = false })
+	}
+	w.run(6*time.Second, 250, 2, func() {
 		for _, length := range []time.Duration{150, 300, 700, 1200} {
 			require.NoError(t, w.signal(0, syscall.SIGSTOP))
 			time.Sleep(length * time.Millisecond)
--- a/internal/net/downstream/end_test.go
+++ b/internal/net/downstream/end_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +99,36 @@
 	nettest.Until(t, l, func() bool { return freed && len(f.conns) == 3 })
 	require.GreaterOrEqual(t, f.waited[2], longest-time.Millisecond)
 }
+
+// holds is a front that takes requests whose bodies are still coming, and nothing of those bodies.
+type holds struct {
+	script
+	open, left int
+}
+
+func (f *holds) Request(*Conn, *http1.Request) { f.open++ }
+
+func (f *holds) Left(*Conn) { f.left++ }
+
+// A client ends its connection behind more of a body than there is room for: it has gone then, and not once all of that
+// has been read.
+func TestAClientEndsBehindABodyWithoutRoom(t *testing.T) {
+	l, err := loop.New()
+	require.NoError(t, err)
+	lim := limits.Limits{Downstream: 4, HeadBytes: 1 << 10, KeepBytes: 1 << 10, BodyBytes: 1 << 20, BodyRate: 1 << 10, Accepts: 4, Ahead: 4,
+		FirstTime: time.Minute, HeadTime: time.Minute, DownstreamIdle: time.Minute, FreshTime: time.Minute, Linger: time.Second,
+		LingerBytes: 1 << 20, FlowSilence: time.Minute}
+	s := New(l, lim, slog.New(slog.DiscardHandler))
+	f := &holds{}
+	require.NoError(t, s.Listen("127.0.0.1:0", f))
+	where, err := loop.Address(s.listeners[0].src.FD())
+	require.NoError(t, err)
+	c := dial(t, where)
+	_, err = io.WriteString(c, "POST /x HTTP/1.1\r\nContent-Length: 500000\r\n\r\n"+strings.Repeat("x", 4*lim.Window(0)))
+	require.NoError(t, err)
+	nettest.Until(t, l, func() bool { return f.open == 1 })
+	require.NoError(t, c.Close())
+	nettest.Until(t, l, func() bool { return f.left == 1 })
+	nettest.Until(t, l, func() bool { return s.Connections() == 0 })
+	require.Equal(t, 1, f.left)
+}
--- a/internal/net/loop/system_test.go
+++ b/internal/net/loop/system_test.go
@@ -223,3 +223,34 @@
 	once()
 	require.Equal(t, []string{"client", "list", "connecting"}, order)
 }
+
+// A wait is interrupted, as when a process that was stopped goes on: what has come meanwhile is served before timers that
+// fell due, in the same turn, and counts as late.
+func TestNewsComeBeforeTimersAfterAnInterruptedWait(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	ours, theirs := pair(t)
+	var order []string
+	_, err = l.Watch(ours, In, handler(func(uint32) {
+		order = append(order, "news")
+		require.Positive(t, l.Late())
+		_, _ = Read(ours, l.Buf())
+	}))
+	require.NoError(t, err)
+	l.After(2*stalledAfter, func() { order = append(order, "timer"); l.Stop() })
+	real, stopped := system.wait, false
+	withSystem(t, func(s *systemCalls) {
+		s.wait = func(epoll int, ready []unix.EpollEvent, most int) (int, error) {
+			if stopped {
+				return real(epoll, ready, most)
+			}
+			stopped = true
+			time.Sleep(3 * stalledAfter)
+			_, err := Write(theirs, []byte("x"))
+			require.NoError(t, err)
+			return -1, unix.EINTR
+		}
+	})
+	require.NoError(t, l.Run(turns(func(time.Duration) time.Duration { return 0 })))
+	require.Equal(t, []string{"news", "timer"}, order)
+}
