--- a/internal/front/openapi/file_test.go
+++ b/internal/front/openapi/file_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ferryfront.example/ferryfront/admission"
 	"ferryfront.example/ferryfront/internal/front/routes"
@@ -133,3 +134,28 @@
 	l <- string(b)
 	return len(b), nil
 }
+
+// A description that can't be read for a moment is read again, though it does not change.
+func TestADescriptionThatCantBeReadForAMoment(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "d.yaml")
+	text := head + "paths:\n  /p:\n    get:\n      x-ferryfront: {class: stock}\n      responses: {\"200\": {description: ok}}\n"
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	kick, swapped, log := make(chan struct{}), make(chan *routes.Table), make(lines, 1024)
+	f := File{Description: path}
+	r := Reloader{File: f, Settings: func() *admission.Settings { return &set }, Log: slog.New(slog.NewTextHandler(log, nil)),
+		Every: 5 * time.Millisecond, Kick: kick, Swap: func(t *routes.Table) { swapped <- t }}
+	go r.Run(f.Stamp())
+	var was unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &was))
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 3, Max: was.Max})) // no file can be opened
+	kick <- struct{}{}
+	failed := <-log
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &was))
+	require.Contains(t, failed, "too many open files")
+	select {
+	case table := <-swapped:
+		require.Equal(t, "stock", table.All()[0].Class)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "not read again")
+	}
+}
--- /dev/null
+++ b/internal/net/discovery/shortage_test.go
@@ -0,0 +1,47 @@
+package discovery
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
+)
+
+// withoutDescriptors does something while this process can open no descriptor.
+func withoutDescriptors(t *testing.T, do func()) {
+	var was unix.Rlimit
+	require.NoError(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &was))
+	require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: 3, Max: was.Max}))
+	defer func() { require.NoError(t, unix.Setrlimit(unix.RLIMIT_NOFILE, &was)) }()
+	do()
+}
+
+// A watch can't be opened for want of something on this machine: discovery was not asked, so that a large fleet's waits,
+// which spare it, do not hold. It is asked as soon as it can be.
+func TestAWatchThatThisMachineCantOpenYet(t *testing.T) {
+	lim, err := limits.For(limits.Site{Sockets: 384, Gateways: 300})
+	require.NoError(t, err)
+	lim.ClusterSpread = 0
+	addr := serve(t, func(c net.Conn, _ int64) {
+		begin(c)
+		chunk(c, list(7))
+	})
+	l, err := loop.New()
+	require.NoError(t, err)
+	s := &sink{}
+	var w *Watcher
+	withoutDescriptors(t, func() {
+		w = New(l, lim, slog.New(slog.DiscardHandler), addr, s, s, List{}, 1)
+	})
+	require.Nil(t, w.next, "nothing was opened")
+	began := time.Now()
+	nettest.Until(t, l, func() bool { return w.Told() })
+	require.Less(t, time.Since(began), lim.ClusterFirst/10)
+}
