--- a/internal/faulttest/single_test.go
+++ b/internal/faulttest/single_test.go
@@ -1,8 +1,12 @@
 package faulttest
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -123,3 +127,32 @@
 	require.Contains(t, string(log), "drained")
 	require.Contains(t, string(log), "accepting paused")
 }
+
+// The machine is short of something, so that nothing can be accepted: that costs no connection which is there, since none of
+// them would bring it back.
+func TestAShortageOfTheMachineCostsNoConnection(t *testing.T) {
+	w := newWorld(t, 1, same("from=1s,until=2s,shortage=1"))
+	idle, err := net.Dial("tcp", w.world.Ingresses[0].Addr)
+	require.NoError(t, err)
+	defer idle.Close()
+	answers := bufio.NewReader(idle)
+	ask := func() {
+		require.NoError(t, idle.SetDeadline(time.Now().Add(patience)))
+		_, err := io.WriteString(idle, "GET /up HTTP/1.1\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		require.Equal(t, 200, resp.StatusCode)
+	}
+	ask()
+	time.Sleep(1200 * time.Millisecond) // into the shortage
+	var requests sync.WaitGroup
+	for i := range 10 {
+		requests.Go(func() {
+			w.clients[0].Do(standin.Ask{ID: fmt.Sprint("s", i), Customer: standin.CustomerName(i), Class: "stock", Plan: "boutique"})
+		})
+	}
+	requests.Wait()
+	ask()
+	w.judge()
+}
--- a/internal/net/loop/injected_faults.go
+++ b/internal/net/loop/injected_faults.go
@@ -15,7 +15,8 @@
 )
 
 // FaultVariable names the environment variable that tells a fault-injecting build what to fail: pairs "name=value" with
-// commas between. seed is of the random numbers; accept, socket, connect, interrupt, short and broken are the parts of the
+// commas between. seed is of the random numbers; accept, shortage (of
+// accept for want of something on the machine), socket, connect, interrupt, short and broken are the parts of the
 // calls that fail, from 0 to 1; from and until bound the time in which they do, counted from the start of the process;
 // step sets the wall clock by so much at the time from. Connections of the local port spare are not broken: their loss is
 // seen by clients, which no ingress can make good.
@@ -62,7 +63,7 @@
 			f.step, err = time.ParseDuration(value)
 		case "spare":
 			f.spare, err = strconv.Atoi(value)
-		case "accept", "socket", "connect", "interrupt", "short", "broken":
+		case "accept", "shortage", "socket", "connect", "interrupt", "short", "broken":
 			f.parts[name], err = strconv.ParseFloat(value, 64)
 		default:
 			err = fmt.Errorf("no fault %q", name)
@@ -102,6 +103,9 @@
 func (f *injector) install() {
 	real := system
 	system.accept = func(listener int) (int, error) {
+		if f.fails("shortage") {
+			return -1, f.one(unix.ENFILE, unix.ENOBUFS)
+		}
 		if f.fails("accept") {
 			return -1, f.one(unix.ECONNABORTED, unix.ENFILE, unix.ENOBUFS, unix.EINTR, unix.EMFILE)
 		}
