--- a/internal/net/discovery/shortage_test.go
+++ b/internal/net/discovery/shortage_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -45,3 +46,27 @@
 	nettest.Until(t, l, func() bool { return w.Told() })
 	require.Less(t, time.Since(began), lim.ClusterFirst/10)
 }
+
+// A connection that the system does not let us watch is closed, and not forgotten.
+func TestAWatchThatCantBeWatchedLeavesNoDescriptor(t *testing.T) {
+	lim, err := limits.For(limits.Site{Sockets: 384, Gateways: 1})
+	require.NoError(t, err)
+	l, err := loop.New()
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	s := &sink{}
+	w := New(l, lim, slog.New(slog.DiscardHandler), ln.Addr().String(), s, s, List{}, 1)
+	l.Close() // nothing can be watched from now on
+	descriptors := func() int {
+		list, err := os.ReadDir("/proc/self/fd")
+		require.NoError(t, err)
+		return len(list)
+	}
+	before := descriptors()
+	for range 5 {
+		w.dial()
+	}
+	require.Equal(t, before, descriptors())
+}
--- a/internal/net/downstream/end_test.go
+++ b/internal/net/downstream/end_test.go
@@ -155,3 +155,29 @@
 	l.After(time.Millisecond, ask)
 	nettest.Until(t, l, func() bool { return len(f.got) == 2 })
 }
+
+// A request comes as its connection would be closed to make room for another: it is answered, and the connection kept.
+func TestARequestCrossesTheMakingOfRoom(t *testing.T) {
+	l, err := loop.New()
+	require.NoError(t, err)
+	lim := limits.Limits{Downstream: 4, HeadBytes: 1 << 10, BodyBytes: 1 << 10, Accepts: 4, Ahead: 4, FirstTime: time.Minute,
+		HeadTime: time.Minute, DownstreamIdle: time.Minute, FreshTime: time.Millisecond, Linger: time.Second, LingerBytes: 1 << 10}
+	s := New(l, lim, slog.New(slog.DiscardHandler))
+	f := &auto{s: s, after: -1}
+	require.NoError(t, s.Listen("127.0.0.1:0", f))
+	where, err := loop.Address(s.listeners[0].src.FD())
+	require.NoError(t, err)
+	c := dial(t, where)
+	ask := func() {
+		_, err := io.WriteString(c, "GET /x HTTP/1.1\r\n\r\n")
+		require.NoError(t, err)
+	}
+	ask()
+	nettest.Until(t, l, func() bool { return len(f.got) == 1 })
+	l.After(10*lim.FreshTime, func() {
+		ask()
+		require.False(t, s.makeRoom(), "nothing is silent")
+	})
+	nettest.Until(t, l, func() bool { return len(f.got) == 2 })
+	require.Equal(t, 1, s.Connections())
+}
