Discovery tests: ports that nobody else is given, a server that waits before descriptors run out

The new shortage test failed once: its server's first accept could fall into the shortage. Change: addresses of nettest.FreeAddress, and a listen that fails is an error of the test; the server accepts once before.

--- a/internal/net/discovery/shortage_test.go
+++ b/internal/net/discovery/shortage_test.go
@@ -34,6 +34,10 @@
 		begin(c)
 		chunk(c, list(7))
 	})
+	first, err := net.Dial("tcp", addr) // once that is taken the server only waits for the next: it must not lack descriptors
+	require.NoError(t, err)
+	require.NoError(t, first.Close())
+	time.Sleep(50 * time.Millisecond)
 	l, err := loop.New()
 	require.NoError(t, err)
 	s := &sink{}
--- a/internal/net/discovery/told_test.go
+++ b/internal/net/discovery/told_test.go
@@ -16,6 +16,7 @@
 
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // A change counts as told this long after discovery had it and could be reached, whatever failed before; nothing new may
@@ -54,7 +55,7 @@
 
 func newFlaky(t *testing.T) *flaky {
 	d := &flaky{t: t, open: map[net.Conn]bool{}}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", nettest.FreeAddress(t)) // one that nobody is given while this is closed
 	require.NoError(t, err)
 	d.addr = ln.Addr().String()
 	d.serve(ln)
@@ -105,7 +106,8 @@
 func (d *flaky) listen() {
 	d.ln.Close()
 	ln, err := net.Listen("tcp", d.addr)
-	if err != nil { // told by the watcher that is never told
+	if err != nil {
+		d.t.Errorf("discovery can't be brought back: %v", err)
 		return
 	}
 	d.serve(ln)
