--- a/internal/net/downstream/end_test.go
+++ b/internal/net/downstream/end_test.go
@@ -133,24 +133,31 @@
 	require.Equal(t, 1, f.left)
 }
 
-// A request comes in the turn in which its connection would be ended as idle: it is answered.
-func TestARequestCrossesTheEndOfAnIdleConnection(t *testing.T) {
+// resting is a server with one client that has had an answer; ask has it send the next request.
+func resting(t *testing.T, change func(*limits.Limits)) (l *loop.Loop, s *Server, f *auto, ask func()) {
 	l, err := loop.New()
 	require.NoError(t, err)
 	lim := limits.Limits{Downstream: 4, HeadBytes: 1 << 10, BodyBytes: 1 << 10, Accepts: 4, Ahead: 4, FirstTime: time.Minute,
-		HeadTime: time.Minute, DownstreamIdle: sweepEvery / 10, FreshTime: time.Minute, Linger: time.Second, LingerBytes: 1 << 10}
-	s := New(l, lim, slog.New(slog.DiscardHandler))
-	f := &auto{s: s, after: -1}
+		HeadTime: time.Minute, DownstreamIdle: time.Minute, FreshTime: time.Minute, Linger: time.Second, LingerBytes: 1 << 10}
+	change(&lim)
+	s = New(l, lim, slog.New(slog.DiscardHandler))
+	f = &auto{s: s, after: -1}
 	require.NoError(t, s.Listen("127.0.0.1:0", f))
 	where, err := loop.Address(s.listeners[0].src.FD())
 	require.NoError(t, err)
 	c := dial(t, where)
-	ask := func() {
+	ask = func() {
 		_, err := io.WriteString(c, "GET /x HTTP/1.1\r\n\r\n")
 		require.NoError(t, err)
 	}
 	ask()
 	nettest.Until(t, l, func() bool { return len(f.got) == 1 })
+	return l, s, f, ask
+}
+
+// A request comes in the turn in which its connection would be ended as idle: it is answered.
+func TestARequestCrossesTheEndOfAnIdleConnection(t *testing.T) {
+	l, _, f, ask := resting(t, func(lim *limits.Limits) { lim.DownstreamIdle = sweepEvery / 10 })
 	l.After(0, func() { time.Sleep(2 * sweepEvery) }) // the next turn has both that and the sweep to do
 	l.After(time.Millisecond, ask)
 	nettest.Until(t, l, func() bool { return len(f.got) == 2 })
@@ -158,23 +165,8 @@
 
 // A request comes as its connection would be closed to make room for another: it is answered, and the connection kept.
 func TestARequestCrossesTheMakingOfRoom(t *testing.T) {
-	l, err := loop.New()
-	require.NoError(t, err)
-	lim := limits.Limits{Downstream: 4, HeadBytes: 1 << 10, BodyBytes: 1 << 10, Accepts: 4, Ahead: 4, FirstTime: time.Minute,
-		HeadTime: time.Minute, DownstreamIdle: time.Minute, FreshTime: time.Millisecond, Linger: time.Second, LingerBytes: 1 << 10}
-	s := New(l, lim, slog.New(slog.DiscardHandler))
-	f := &auto{s: s, after: -1}
-	require.NoError(t, s.Listen("127.0.0.1:0", f))
-	where, err := loop.Address(s.listeners[0].src.FD())
-	require.NoError(t, err)
-	c := dial(t, where)
-	ask := func() {
-		_, err := io.WriteString(c, "GET /x HTTP/1.1\r\n\r\n")
-		require.NoError(t, err)
-	}
-	ask()
-	nettest.Until(t, l, func() bool { return len(f.got) == 1 })
-	l.After(10*lim.FreshTime, func() {
+	l, s, f, ask := resting(t, func(lim *limits.Limits) { lim.FreshTime = time.Millisecond })
+	l.After(10*s.lim.FreshTime, func() {
 		ask()
 		require.False(t, s.makeRoom(), "nothing is silent")
 	})
