--- a/review/cmd/slowreader/main.go
+++ b/review/cmd/slowreader/main.go
@@ -21,8 +21,8 @@
 	serversInCell = 4
 	customers     = 24
 	warmUp        = 3 * time.Second
-	requests      = 90
-	requestPause  = 400 * time.Millisecond
+	requests      = 180
+	requestPause  = 200 * time.Millisecond
 
 	lineSize   = 32
 	pieceSize  = 32 << 10
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -370,3 +370,6 @@
 		"stats":  object{"how": "none", "names": []string{}},
 	}
 }
+
+// Pid returns the process id.
+func (in *Ingress) Pid() int { return in.command.Process.Pid }
