--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -258,6 +258,7 @@
 type Ingress struct {
 	Name, Addr string
 
+	log     string // path
 	command *exec.Cmd
 	ended   chan struct{}
 }
@@ -285,7 +286,8 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
+	in.log = filepath.Join(dir, "log")
+	log, err := os.Create(in.log)
 	if err != nil {
 		return nil, err
 	}
@@ -373,3 +375,12 @@
 
 // Pid returns the process id.
 func (in *Ingress) Pid() int { return in.command.Process.Pid }
+
+// Log returns what the process has written to its standard output and standard error.
+func (in *Ingress) Log() string {
+	text, err := os.ReadFile(in.log)
+	if err != nil {
+		return ""
+	}
+	return string(text)
+}
