Review: the records of cases 1 and 3 hold every request

Cause: a record has to tell what was sent, answered and run; these two told only what was odd. What: a line for each request sent, answered and run. The checks are as before.

--- a/review/cmd/lateanswer/main.go
+++ b/review/cmd/lateanswer/main.go
@@ -75,6 +75,7 @@
 		s.cores <- struct{}{}
 		time.Sleep(work())
 		<-s.cores
+		s.record.Printf("%s has run %s, which came on %s", s.name, id, conn.RemoteAddr())
 		body := "answer to " + id + " from " + s.name + "\n"
 		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		// Twice only where nothing else waits on the connection.
@@ -156,7 +157,10 @@
 		}
 		via := rand.IntN(len(clients))
 		wg.Go(func() {
+			record.Printf("%s %s sent to n%d", request.Class, request.ID, via)
 			answer := clients[via].Do(request)
+			record.Printf("%s %s via n%d: status %d after %s, %q", request.Class, request.ID, via, answer.Status,
+				answer.Done.Round(100*time.Microsecond), answer.Body)
 			mu.Lock()
 			defer mu.Unlock()
 			statuses[answer.Status]++
--- a/review/cmd/slowanswer/main.go
+++ b/review/cmd/slowanswer/main.go
@@ -103,10 +103,8 @@
 		s.mu.Lock()
 		done.written, done.isWhole = written, whole
 		s.mu.Unlock()
-		if isLong(id) {
-			s.record.Printf("%s ran %s for the connection %s, wrote %d of %d bytes, whole %v", name, id, done.connection,
-				written, len(body(id)), whole)
-		}
+		s.record.Printf("%s ran %s for the connection %s, wrote %d of %d bytes, whole %v", name, id, done.connection,
+			written, len(body(id)), whole)
 	}
 }
 
@@ -188,13 +186,13 @@
 			request.Class, request.Key = "order", fmt.Sprintf("%032x", rand.Uint64())
 		}
 		via := rand.IntN(len(clients))
+		record.Printf("%s %s sent to n%d", request.Class, request.ID, via)
 		wg.Go(func() {
 			answer := clients[via].Do(request)
 			isWhole := answer.Status == http.StatusOK && answer.Err == nil && bytes.Equal(answer.Body, body(request.ID))
 			if kind != "10" {
-				if !isWhole {
-					record.Printf("short answer to %s via n%d: status %d, %v, after %s", request.ID, via, answer.Status, answer.Err, answer.Done)
-				}
+				record.Printf("short answer to %s via n%d: status %d, whole %v, %v, after %s", request.ID, via, answer.Status, isWhole,
+					answer.Err, answer.Done.Round(time.Millisecond))
 				return
 			}
 			mu.Lock()
