Review: second answers 3 to 12 ms late, and the new process found for certain

What: the delays are spread over some milliseconds; the new process is looked for once it has taken over. The checks are as before.

--- a/review/cmd/killedsuccessor/main.go
+++ b/review/cmd/killedsuccessor/main.go
@@ -135,16 +135,17 @@
 		fmt.Println(err)
 		return stand.NotRun
 	}
-	next := 0
-	for end := time.Now().Add(takeoverLimit); next == 0 || !strings.Contains(in.Log(), "taken over"); time.Sleep(5 * time.Millisecond) {
-		if next == 0 {
-			next = successor(in.Pid())
-		}
+	for end := time.Now().Add(takeoverLimit); !strings.Contains(in.Log(), "taken over"); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			fmt.Println("no process has taken over")
 			return stand.NotRun
 		}
 	}
+	next := successor(in.Pid())
+	if next == 0 {
+		fmt.Println("the new process was not found")
+		return stand.NotRun
+	}
 	defer func() { _ = syscall.Kill(next, syscall.SIGKILL) }()
 	record.Printf("process %d has taken over", next)
 	return order(record, f, in.Addr, next)
--- a/review/cmd/lateanswer/main.go
+++ b/review/cmd/lateanswer/main.go
@@ -29,7 +29,8 @@
 	warmUp        = 3 * time.Second
 
 	doubledShare = 0.02
-	secondDelay  = 6 * time.Millisecond
+	minDelay     = 3 * time.Millisecond // of a second answer after the first
+	maxDelay     = 12 * time.Millisecond
 )
 
 func main() { os.Exit(run(os.Args[1], os.Args[2])) }
@@ -85,7 +86,7 @@
 		}
 		if isDoubled {
 			at := time.Now()
-			time.AfterFunc(secondDelay, func() {
+			time.AfterFunc(minDelay+time.Duration(rand.Int64N(int64(maxDelay-minDelay))), func() {
 				err := write(answer)
 				s.record.Printf("%s sent its answer to %s to %s again, %s after the first, error %v", s.name, id,
 					conn.RemoteAddr(), time.Since(at).Round(100*time.Microsecond), err)
