Review: a case ends the whole process group of each ingress

Cause: a run that ended with exit code 2 had left the new process of its upgrade running. What: each ingress starts in a process group of its own, which is killed at the end.

--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -296,7 +296,7 @@
 	in.command.Dir, in.command.Stdout, in.command.Stderr = w.root, log, log
 	in.command.Env = append(os.Environ(), "GW_NAME="+in.Name, "GW_LISTEN="+in.Addr, "GW_DISCOVERY="+w.Discovery.address,
 		"GW_CONFIG="+path, "TMPDIR="+temp)
-	in.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	in.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := in.command.Start(); err != nil {
 		return nil, err
 	}
@@ -325,9 +325,9 @@
 	return fmt.Errorf("%s is not up after %s", in.Name, limit)
 }
 
-// Kill ends the process and waits for its end.
+// Kill ends the process, and those that it has started and that live on, and waits for its end.
 func (in *Ingress) Kill() {
-	_ = in.command.Process.Kill()
+	_ = syscall.Kill(-in.command.Process.Pid, syscall.SIGKILL) // its process group
 	<-in.ended
 }
 
