Log at debug level when a response begins to be relayed

What: "early relay scheduled" and "response relay started", with stream, attempt, host and descriptor.

--- a/internal/net/upstream/body.go
+++ b/internal/net/upstream/body.go
@@ -81,6 +81,7 @@
 	if c.failPossibleDuplicate(resp) {
 		return
 	}
+	c.traceRelayStarted(len(resp.Body))
 	ref := c.ref
 	c.earlyRelayTimer.Stop()
 	delete(c.pool.active, ref)
--- a/internal/net/upstream/response.go
+++ b/internal/net/upstream/response.go
@@ -72,6 +72,7 @@
 		case c.earlyRelayTimer == nil && c.parser.HasUnknownLength():
 			// A short response counts as answered with its last byte, which arrives soon. A long one counts with its
 			// first bytes, so it is relayed from now on.
+			c.traceEarlyRelayScheduled()
 			c.earlyRelayTimer = c.pool.loop.After(c.pool.bounds.RelayStartDelay, func() {
 				if resp := c.parser.StartStreaming(); resp != nil && c.hasRequest && c.source.FD() >= 0 {
 					c.startRelay(resp)
--- a/internal/net/upstream/trace.go
+++ b/internal/net/upstream/trace.go
@@ -43,3 +43,17 @@
 			"up", c.isConnected, "descriptor", c.source.FD(), "cause", cause)
 	}
 }
+
+func (c *conn) traceEarlyRelayScheduled() {
+	if c.pool.debugEnabled {
+		c.pool.log.Debug("early relay scheduled", "stream", c.ref.Stream, "attempt", c.ref.Attempt, "host", c.host.name,
+			"descriptor", c.source.FD())
+	}
+}
+
+func (c *conn) traceRelayStarted(bodyBytes int) {
+	if c.pool.debugEnabled {
+		c.pool.log.Debug("response relay started", "stream", c.ref.Stream, "attempt", c.ref.Attempt, "host", c.host.name,
+			"descriptor", c.source.FD(), "bytes", bodyBytes)
+	}
+}
