Relay each long answer of a connection, not only its first

Cause: conn.read starts the timer of the early relay only if conn.earlyRelayTimer is nil. completeResponse cleared the field, startRelay only stopped the timer. So after one relayed response no later one on its connection was relayed before it was over 64 KiB, and the attempt's time limit ended it. Change: what belongs to one request is in upstream.exchange, and a connection begins each request with a new one, so none of its fields depends on being reset at each end of a request.

--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -52,7 +52,7 @@
 		return
 	}
 	if c := p.takeIdle(h, m); c != nil {
-		c.assign(ref, isProbe, m, wait)
+		c.assign(exchange{ref: ref, isProbe: isProbe, isReused: true, message: m}, wait)
 		c.encodeRequest()
 		c.flush()
 		return
@@ -67,7 +67,7 @@
 		p.reportOutcome(ref, isProbe, dialOutcome(err), core.Answer{})
 		return
 	}
-	c.assign(ref, isProbe, m, wait)
+	c.assign(exchange{ref: ref, isProbe: isProbe, message: m}, wait)
 }
 
 // dialOutcome returns the outcome of a request whose connection could not be opened. A shortage of resources on this
@@ -105,13 +105,14 @@
 	return c, nil
 }
 
-// assign makes a request or probe the current one of the connection, without writing it.
-func (c *conn) assign(ref core.Ref, isProbe bool, m *Message, wait time.Duration) {
-	c.traceAssigned(ref)
-	c.hasRequest, c.ref, c.isProbe, c.message, c.deadline = true, ref, isProbe, m, c.pool.loop.Now()+wait
-	c.pool.active[ref] = c
-	if m.BodyPipe != nil {
-		c.attachBody(m.BodyPipe)
+// assign begins an exchange on the connection, without writing its request. wait is the time left until its deadline.
+func (c *conn) assign(e exchange, wait time.Duration) {
+	c.exchange = e
+	c.hasRequest, c.deadline = true, c.pool.loop.Now()+wait
+	c.traceAssigned()
+	c.pool.active[c.ref] = c
+	if c.message.BodyPipe != nil {
+		c.attachBody(c.message.BodyPipe)
 	}
 }
 
--- a/internal/net/upstream/response.go
+++ b/internal/net/upstream/response.go
@@ -97,7 +97,6 @@
 	}
 	c.hasRequest = false
 	c.earlyRelayTimer.Stop()
-	c.earlyRelayTimer = nil
 	delete(c.pool.active, ref)
 	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type"), Billed: chargedUnits(resp)}
 	if resp.Close || len(c.unsent) > 0 || c.body != nil || c.parser.Buffered() > 0 {
--- a/internal/net/upstream/reuse.go
+++ b/internal/net/upstream/reuse.go
@@ -76,7 +76,6 @@
 			continue
 		}
 		h.idle = slices.Delete(h.idle, i, i+1)
-		c.isReused = true
 		return c
 	}
 	return nil
--- a/internal/net/upstream/trace.go
+++ b/internal/net/upstream/trace.go
@@ -30,9 +30,9 @@
 	}
 }
 
-func (c *conn) traceAssigned(ref core.Ref) {
+func (c *conn) traceAssigned() {
 	if c.pool.debugEnabled {
-		c.pool.log.Debug("upstream connection used", "stream", ref.Stream, "attempt", ref.Attempt, "host", c.host.name,
+		c.pool.log.Debug("upstream connection used", "stream", c.ref.Stream, "attempt", c.ref.Attempt, "host", c.host.name,
 			"kept", c.isReused, "descriptor", c.source.FD())
 	}
 }
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -107,23 +107,29 @@
 	parser  *http1.ResponseParser
 
 	isConnected bool // the TCP connection is established
-	hasRequest  bool // the response to the current request or probe is not complete
+	dialTimer   *loop.Timer
+	idleSince   time.Duration // end of the previous response, also while the connection is reused
 
-	isProbe  bool
-	ref      core.Ref      // of the current request or probe
-	message  *Message      // request that is encoded once the connection is established; nil: none
-	deadline time.Duration // of the current request, in loop time
-	unsent   []byte        // encoded request bytes that the socket has not taken yet
+	exchange
+}
+
+// exchange is the state of one request or probe on a connection, and of its response. A connection begins each with a new
+// exchange, so that nothing of one request affects the next.
+type exchange struct {
+	hasRequest bool // the response is not complete
+	isReused   bool // the connection was idle before this exchange
 
-	idleSince time.Duration // end of the previous response, also while the connection is reused
-	isReused  bool          // taken from the idle connections for the current request
-	writtenAt time.Duration // when the current request was written completely
-	dialTimer *loop.Timer
+	isProbe   bool
+	ref       core.Ref
+	message   *Message      // request that is encoded once the connection is established; nil: none
+	deadline  time.Duration // in loop time
+	unsent    []byte        // encoded request bytes that the socket has not taken yet
+	writtenAt time.Duration // when the request was written completely
 
 	bodyProgressAt time.Duration // last time that the host took request bytes, or that there were none to write
 	body           *flow.Pipe    // part of the request body that is not in unsent yet; nil: none
 
-	earlyRelayTimer *loop.Timer // relays an incomplete response of unknown length; started only if nil
+	earlyRelayTimer *loop.Timer // relays an incomplete response of unknown length; nil until its head is complete
 	relay           *relay      // response body that is being relayed; nil: none
 	closeAfterRelay bool        // the connection can't be reused after the relay
 }
