Answer malformed input behind a HEAD request with a body

What callers saw: 400 with a Content-Length and no body, then the connection's end, for malformed input on a connection whose previous request was a HEAD. Cause: rejectRequest answers what is no request, and Conn.isHead still told of the request before. Change: what belongs to one request is in downstream.exchange. A connection begins each request, and each error response outside one, with a new exchange. Test: TestErrorAfterHeadRequestHasItsBody, which failed before ("unexpected EOF") and passes.

--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -111,11 +111,7 @@
 
 // Conn is one client connection. It carries one request at a time; pipelined requests wait in the buffer.
 type Conn struct {
-	// StreamID identifies the stream of the current request. The handler sets it; the response clears it.
-	StreamID uint64
-
-	// TraceParent is the traceparent header of the next response; empty: none. The handler sets it.
-	TraceParent string
+	exchange
 
 	server   *Server
 	id       uint64 // number of the connection in the log
@@ -129,33 +125,45 @@
 	openedAt   time.Duration
 	lastReadAt time.Duration // last time that bytes were received, or that the connection became idle
 
-	arrivals         arrivals      // arrival times of the buffered input
-	requestArrivedAt time.Duration // arrival of the last parsed byte of the current request
+	arrivals arrivals // arrival times of the buffered input
 
 	wasServed      bool // has had a response other than a client error; 429 counts as served
 	discardedBytes int  // input bytes discarded while lingering
 	overflowBytes  int  // pipelined bytes discarded because they exceeded the buffer
 	hasUnreadBody  bool // a request was answered or given up before its body had been received
 
-	awaitingResponse   bool           // a request is unanswered or its response is being relayed
-	isHead             bool           // the method of the current request is HEAD
-	isHTTP10           bool           // the current request is of HTTP/1.0
-	upload             *bodyUpload    // the request body that is still being received; nil: none
-	relay              *responseRelay // the response body that is still being relayed; nil: none
-	closeAfterResponse bool           // the current response is the last one
-	lingering          bool           // no more is sent after unsent; input is read and discarded
-	parsing            bool           // parseRequests is on the call stack
+	closeAfterResponse bool // the current response is the last one
+	lingering          bool // no more is sent after unsent; input is read and discarded
+	parsing            bool // parseRequests is on the call stack
 
 	prev, next *Conn     // neighbors in list
 	list       *connList // the list that holds the connection; nil: none
 }
 
+// exchange is the state of one request on a connection, and of its response. A connection begins each with a new exchange,
+// so that nothing of one request affects the next.
+type exchange struct {
+	// StreamID identifies the stream of the current request. The handler sets it; the response clears it.
+	StreamID uint64
+
+	// TraceParent is the traceparent header of the next response; empty: none. The handler sets it.
+	TraceParent string
+
+	awaitingResponse bool          // the request is unanswered or its response is being relayed
+	arrivedAt        time.Duration // arrival of the last parsed byte of the request
+	isHead           bool          // the method is HEAD
+	isHTTP10         bool          // the protocol is HTTP/1.0
+
+	upload *bodyUpload    // the request body that is still being received; nil: none
+	relay  *responseRelay // the response body that is still being relayed; nil: none
+}
+
 // Now returns the time of the current loop turn.
 func (c *Conn) Now() time.Duration { return c.server.loop.Now() }
 
 // RequestAge returns the time since the current request arrived: its last byte or, if its body is streamed, the last byte
 // that was parsed before HandleRequest. The timeout that the client sends with the request runs from then.
-func (c *Conn) RequestAge() time.Duration { return max(0, c.Now()-c.requestArrivedAt) }
+func (c *Conn) RequestAge() time.Duration { return max(0, c.Now()-c.arrivedAt) }
 
 // setIdle starts the idle phase after a response.
 func (c *Conn) setIdle() {
--- /dev/null
+++ b/internal/net/downstream/exchange_test.go
@@ -0,0 +1,190 @@
+package downstream
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/flow"
+	"ferryfront.example/ferryfront/internal/net/http1"
+	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
+)
+
+// testBodyThreshold is the size in bytes above which the tests' server streams a request body, as is its pipe.
+const testBodyThreshold = 64 << 10
+
+// exchangeBounds returns the limits of the tests of this file.
+func exchangeBounds() limits.Limits {
+	return limits.Limits{MaxDownstreamConns: 10, MaxHeaderBytes: 16 << 10, MaxBodyBytes: 1 << 20,
+		MaxBufferedBodyBytes: testBodyThreshold, MaxRelayBufferBytes: 1 << 20, MaxAcceptsPerTurn: 4, MaxPipelinedPerTurn: 4,
+		FirstRequestTimeout: time.Minute, HeaderTimeout: time.Minute, MinBodyRate: 1 << 20, DownstreamIdleTimeout: time.Minute,
+		RelayStallTimeout: time.Minute, LingerTimeout: time.Second, MaxLingerBytes: 1 << 20}
+}
+
+// receivedRequest is a request as a handler received it.
+type receivedRequest struct {
+	method, target, body string
+	age                  time.Duration // when the handler was called
+}
+
+// echoHandler records each request and answers it once its body is complete, with the body, as its target says: /reply in
+// one piece, /relay in two that are relayed, /sized likewise with the length told. It answers other methods than GET and
+// POST at once with 405.
+type echoHandler struct {
+	loop     *loop.Loop
+	requests []*receivedRequest
+	streamed map[*Conn]*receivedRequest // whose body is being received
+}
+
+func (h *echoHandler) HandleRequest(c *Conn, r *http1.Request) {
+	request := &receivedRequest{method: r.Method, target: r.Target, body: string(r.Body), age: c.RequestAge()}
+	h.requests = append(h.requests, request)
+	switch {
+	case r.Method != "GET" && r.Method != "POST":
+		c.Reply(405, nil, []byte("not allowed"))
+	case r.IsStreamed:
+		h.streamed[c] = request
+		pipe := r.BodyPipe
+		pipe.OnData = func() {
+			// The upstream side consumes in a later turn, when its socket takes the bytes.
+			h.loop.After(0, func() {
+				request.body += string(pipe.Bytes())
+				pipe.Consume(len(pipe.Bytes()))
+			})
+		}
+		pipe.OnData()
+	default:
+		h.answer(c, request)
+	}
+}
+
+func (h *echoHandler) HandleClientGone(c *Conn) { delete(h.streamed, c) }
+
+func (h *echoHandler) HandleBodyComplete(c *Conn) {
+	request := h.streamed[c]
+	delete(h.streamed, c)
+	h.loop.After(time.Millisecond, func() { h.answer(c, request) })
+}
+
+func (h *echoHandler) HandleMalformed(c *Conn, status int, message string) {
+	c.Reply(status, nil, []byte(message))
+}
+
+// answer answers a request as its target says.
+func (h *echoHandler) answer(c *Conn, r *receivedRequest) {
+	content := r.method + " " + r.body
+	length := int64(-1)
+	switch r.target {
+	case "/reply":
+		c.Reply(200, nil, []byte(content))
+		return
+	case "/sized":
+		length = int64(len(content))
+	}
+	pipe := flow.New(len(content), length)
+	pipe.Append([]byte(content[:4]))
+	c.Relay(200, nil, pipe, func(bool) {})
+	h.loop.After(time.Millisecond, func() {
+		pipe.Append([]byte(content[4:]))
+		pipe.CloseWrite(true)
+	})
+}
+
+// exchangeWorld is two servers on one loop, the second ready to take over the connections of the first, and a client.
+type exchangeWorld struct {
+	t         *testing.T
+	loop      *loop.Loop
+	old, next *Server
+	handler   *echoHandler // of both servers
+	client    net.Conn
+	reader    *bufio.Reader
+}
+
+// newExchangeWorld returns servers with the given bounds and a client that is connected to the old one.
+func newExchangeWorld(t *testing.T, bounds limits.Limits) *exchangeWorld {
+	l, err := loop.New()
+	require.NoError(t, err)
+	log := slog.New(slog.DiscardHandler)
+	w := &exchangeWorld{t: t, loop: l, old: New(l, bounds, log), next: New(l, bounds, log),
+		handler: &echoHandler{loop: l, streamed: map[*Conn]*receivedRequest{}}}
+	const anyPort = "127.0.0.1:0"
+	require.NoError(t, w.old.Listen(anyPort, w.handler))
+	fds, err := w.old.DuplicateListeners()
+	require.NoError(t, err)
+	w.next.Suspend()
+	require.NoError(t, w.next.AdoptListener(fds[0], anyPort, w.handler))
+	address, err := loop.LocalAddress(fds[0])
+	require.NoError(t, err)
+	w.client = dial(t, address)
+	w.reader = bufio.NewReader(w.client)
+	return w
+}
+
+// handOver has the next server continue all connections.
+func (w *exchangeWorld) handOver() {
+	w.old.Suspend()
+	w.old.HandOver(func(st ConnState, fd int) { require.NoError(w.t, w.next.AdoptConnection(st, fd)) })
+	w.next.Resume()
+}
+
+// send writes in the background, since the loop runs on the test's goroutine.
+func (w *exchangeWorld) send(text string) {
+	go func() { _, _ = io.WriteString(w.client, text) }()
+}
+
+// clientResult is a response as the client received it.
+type clientResult struct {
+	status int
+	body   string
+	err    error
+}
+
+// receive runs the loop until the client has the response to a request, and returns it. Interim responses are skipped.
+func (w *exchangeWorld) receive(method string) clientResult {
+	results := make(chan clientResult, 1)
+	go func() {
+		resp, err := http.ReadResponse(w.reader, &http.Request{Method: method})
+		for err == nil && resp.StatusCode == http.StatusContinue {
+			resp, err = http.ReadResponse(w.reader, &http.Request{Method: method})
+		}
+		if err != nil {
+			results <- clientResult{err: err}
+			return
+		}
+		body, err := io.ReadAll(resp.Body)
+		results <- clientResult{resp.StatusCode, string(body), err}
+	}()
+	var result clientResult
+	nettest.Until(w.t, w.loop, func() bool {
+		select {
+		case result = <-results:
+			return true
+		default:
+			return false
+		}
+	})
+	return result
+}
+
+// Guards against the method of one request deciding about the response to the next: the error response to what follows a
+// HEAD request was sent without its body, though with its length.
+func TestErrorAfterHeadRequestHasItsBody(t *testing.T) {
+	for _, next := range []string{"GET /reply\r\n\r\n", "GET /reply HTTP/1.1\r\nno field\r\n\r\n"} {
+		w := newExchangeWorld(t, exchangeBounds())
+		w.send("HEAD /reply HTTP/1.1\r\n\r\n")
+		require.Equal(t, clientResult{status: 405}, w.receive("HEAD"))
+		w.send(next)
+		result := w.receive("GET")
+		require.NoError(t, result.err)
+		require.Equal(t, 400, result.status)
+		require.NotEmpty(t, result.body)
+	}
+}
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -88,8 +88,8 @@
 			}
 			break
 		}
-		c.requestArrivedAt = c.arrivals.lastParsed(c.parser.Buffered(), c.Now())
-		c.awaitingResponse, c.isHead, c.isHTTP10 = true, req.Method == "HEAD", req.IsHTTP10
+		c.exchange = exchange{awaitingResponse: true, arrivedAt: c.arrivals.lastParsed(c.parser.Buffered(), c.Now()),
+			isHead: req.Method == "HEAD", isHTTP10: req.IsHTTP10}
 		c.closeAfterResponse = c.closeAfterResponse || req.Close
 		c.traceRequestRead(req)
 		c.removeFromList()
@@ -143,7 +143,10 @@
 
 // rejectRequest has the handler answer an invalid or too slow request. The response closes the connection.
 func (c *Conn) rejectRequest(status int, message string) {
-	c.awaitingResponse, c.closeAfterResponse = true, true
+	if !c.awaitingResponse { // it is not known what the input asks for
+		c.exchange = exchange{awaitingResponse: true}
+	}
+	c.closeAfterResponse = true
 	c.hasUnreadBody = c.hasUnreadBody || status == 413 // the client may write the whole body before it reads
 	c.removeFromList()
 	c.listener.handler.HandleMalformed(c, status, message)
