End a request that stops in its head in time, also behind one with a body

What callers saw: a client that stopped in the middle of a request kept its connection, and got its 408, later than the 3 s that it is owed: by the time that the body of its previous request might have taken, over 11 minutes for 32 MB. Change: it is 0 outside a body. Test: TestTimeoutOfHeadIgnoresPreviousBody.

--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -188,3 +190,20 @@
 		require.NotEmpty(t, result.body)
 	}
 }
+
+// Guards against the body of one request extending the time of the next: a client that stopped in the middle of a request
+// was kept for as long as its previous body might have taken, up to minutes.
+func TestTimeoutOfHeadIgnoresPreviousBody(t *testing.T) {
+	long := strings.Repeat("x", testBodyThreshold+100)
+	for name, body := range map[string]string{"buffered": "0123456789", "streamed": long} {
+		bounds := exchangeBounds()
+		bounds.HeaderTimeout, bounds.MinBodyRate = 50*time.Millisecond, 1
+		w := newExchangeWorld(t, bounds)
+		w.send(fmt.Sprintf("POST /reply HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		require.Equal(t, 200, w.receive("POST").status, name)
+		w.send("GET /reply HT")
+		started := w.loop.Now()
+		require.Equal(t, 408, w.receive("GET").status, name)
+		require.Less(t, w.loop.Now()-started, 9*time.Second, "%s: a body of 10 bytes may take 10 s", name)
+	}
+}
--- a/internal/net/http1/reader.go
+++ b/internal/net/http1/reader.go
@@ -84,8 +84,14 @@
 	return n
 }
 
-// BodyBytesRead returns how many bytes of the current message's body have been read.
-func (r *reader) BodyBytesRead() int { return r.bytesDelivered + len(r.body) }
+// BodyBytesRead returns how many bytes of the current message's body have been read. It is 0 between two messages and
+// while a head is being read, whatever the previous message had.
+func (r *reader) BodyBytesRead() int {
+	if !r.inBody {
+		return 0
+	}
+	return r.bytesDelivered + len(r.body)
+}
 
 // HasMessageStarted reports whether a message is being read or unparsed bytes remain.
 func (r *reader) HasMessageStarted() bool { return r.inBody || len(r.unparsed) > 0 }
