Pass a body on as complete when the next request is right behind it

What callers saw: no answer to a request with a chunked body a little over 64 KiB if bytes of the next request came in the same read; by the limits 408 after 4.4 s. Cause: pumpUpload does nothing while the pipe is full and bytes are buffered, as if those were the body's. Of a body that is complete when it is found to be too long to be buffered whole, they are the next request's, and no further input came that would have called pumpUpload again. Change: a body that the parser has read to its end is ended whatever is buffered behind it. Test: TestCompleteBodyBeforeNextRequest, which failed before (no answer within 20 s) and passes.

--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -34,12 +34,15 @@
 	c.pumpUpload()
 }
 
-// pumpUpload moves received bytes of the body into the pipe, as far as there is space.
+// pumpUpload moves received bytes of the body into the pipe, as far as there is space, and ends an upload that is complete.
 func (c *Conn) pumpUpload() {
-	if c.upload == nil || c.source.FD() < 0 || c.upload.pipe.FreeSpace() == 0 && c.parser.Buffered() > 0 {
+	if c.upload == nil || c.source.FD() < 0 {
 		return
 	}
 	u := c.upload
+	if u.pipe.FreeSpace() == 0 && c.parser.Buffered() > 0 && !c.parser.IsStreamComplete() {
+		return
+	}
 	b, complete, err := c.parser.NextBodyPart()
 	if err != nil {
 		c.abortUpload()
--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -207,3 +207,15 @@
 		require.Less(t, w.loop.Now()-started, 9*time.Second, "%s: a body of 10 bytes may take 10 s", name)
 	}
 }
+
+// Guards against the next request holding up the one before it: a body that was complete, too long to be buffered whole and
+// followed by the first bytes of the next request was never passed on as complete, and its request ended with 408.
+func TestCompleteBodyBeforeNextRequest(t *testing.T) {
+	body := strings.Repeat("x", testBodyThreshold+100)
+	w := newExchangeWorld(t, exchangeBounds())
+	w.send(fmt.Sprintf("POST /reply HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\nGET /reply HT",
+		len(body), body))
+	require.Equal(t, clientResult{status: 200, body: "POST " + body}, w.receive("POST"))
+	w.send("TP/1.1\r\n\r\n")
+	require.Equal(t, clientResult{status: 200, body: "GET "}, w.receive("GET"))
+}
--- a/internal/net/http1/reader.go
+++ b/internal/net/http1/reader.go
@@ -93,6 +93,10 @@
 	return r.bytesDelivered + len(r.body)
 }
 
+// IsStreamComplete reports whether the whole body of a streamed message has been read, so that NextBodyPart ends it without
+// further input. Bytes that are still buffered then belong to the next message.
+func (r *reader) IsStreamComplete() bool { return r.isStreaming && r.isBodyComplete }
+
 // HasMessageStarted reports whether a message is being read or unparsed bytes remain.
 func (r *reader) HasMessageStarted() bool { return r.inBody || len(r.unparsed) > 0 }
 
