Hand the arrival times of buffered requests over with their connection

What callers saw: a request that waited behind another one of its connection got its whole time anew when the connection was handed to another process, so its order server was told more than was left. Cause: the buffered bytes were handed over and their arrival times (downstream.arrivals) were not. Bytes without a record count as arriving now. Change: ClientConnection has a further field for them. Older processes skip it; without it all is as before. Test: TestRequestAgeAcrossHandOver. TestArrivalTimesAreHandedOver covers offsets, and records of another process that can't be right.

--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -415,13 +415,18 @@
 	for _, h := range p.Headers {
 		m.Headers = append(m.Headers, &pb.Header{Name: h.Name, Value: h.Value})
 	}
+	var arrivals []*pb.Arrival
+	for _, a := range s.Arrivals {
+		arrivals = append(arrivals, &pb.Arrival{End: a.End, At: int64(a.At)})
+	}
 	return &pb.ClientConnection{
 		Listener: s.ListenerAddress,
 		Out:      s.Unsent,
 		Since:    int64(s.PhaseSince),
 		Opened:   int64(s.OpenedAt),
 		Served:   s.WasServed,
-		Parser:   m}
+		Parser:   m,
+		Arrivals: arrivals}
 }
 
 // DecodeClientConn is the inverse of EncodeClientConn.
@@ -450,6 +455,9 @@
 	for _, h := range p.GetHeaders() {
 		s.Parser.Headers = append(s.Parser.Headers, http1.Header{Name: h.GetName(), Value: h.GetValue()})
 	}
+	for _, a := range m.GetArrivals() {
+		s.Arrivals = append(s.Arrivals, downstream.Arrival{End: a.GetEnd(), At: duration(a.GetAt())})
+	}
 	return s
 }
 
--- a/internal/net/downstream/arrivals_test.go
+++ b/internal/net/downstream/arrivals_test.go
@@ -33,3 +33,22 @@
 	last := time.Duration(10*maxArrivals-1) * time.Second
 	require.Equal(t, last, a.lastParsed(0, last+time.Second))
 }
+
+// Arrival times are handed over with the buffered bytes. Those of another process are not trusted to be in order.
+func TestArrivalTimesAreHandedOver(t *testing.T) {
+	const second = time.Second
+	var a arrivals
+	a.add(10, 1*second)
+	a.add(4, 2*second)
+	a.add(6, 3*second)
+	require.Equal(t, 1*second, a.lastParsed(15, 4*second))
+	records := a.ofBuffered(15)
+	require.Equal(t, []Arrival{{5, 1 * second}, {9, 2 * second}, {15, 3 * second}}, records)
+	b := restoreArrivals(records, 15)
+	b.add(5, 9*second)
+	require.Equal(t, 1*second, b.lastParsed(16, 10*second))
+	require.Equal(t, 3*second, b.lastParsed(5, 10*second))
+	require.Equal(t, 9*second, b.lastParsed(0, 10*second))
+	b = restoreArrivals([]Arrival{{5, second}, {3, second}, {-1, second}, {99, second}}, 15)
+	require.Equal(t, []Arrival{{5, second}}, b.records)
+}
--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -219,3 +219,27 @@
 	w.send("TP/1.1\r\n\r\n")
 	require.Equal(t, clientResult{status: 200, body: "GET "}, w.receive("GET"))
 }
+
+// Guards against a hand-over giving a request more time than its client does: a request that had waited behind another one
+// in the old process counted as just arrived in the new one.
+func TestRequestAgeAcrossHandOver(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	w := newExchangeWorld(t, exchangeBounds())
+	held := &recordingHandler{}
+	w.old.listeners[0].handler = held
+	w.send("GET /held HTTP/1.1\r\n\r\nGET /reply HTTP/1.1\r\n\r\nGET /rep")
+	nettest.Until(t, w.loop, func() bool { return len(held.pending) == 1 && held.pending[0].parser.Buffered() > 0 })
+	arrived := w.loop.Now()
+	nettest.Until(t, w.loop, func() bool { return w.loop.Now()-arrived > wait })
+	w.handOver()
+	held.pending[0].Reply(200, nil, nil)
+	handedOver := w.loop.Now()
+	require.Equal(t, 200, w.receive("GET").status)
+	require.Equal(t, 200, w.receive("GET").status)
+	require.Len(t, w.handler.requests, 1)
+	require.GreaterOrEqual(t, w.handler.requests[0].age, wait)
+	nettest.Until(t, w.loop, func() bool { return w.loop.Now()-handedOver > wait })
+	w.send("ly HTTP/1.1\r\n\r\n")
+	require.Equal(t, 200, w.receive("GET").status)
+	require.Less(t, w.handler.requests[1].age, wait, "a request's time runs from its last byte")
+}
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -19,6 +19,7 @@
 	PhaseSince, OpenedAt time.Duration            // loop times at which the phase began and the connection was accepted
 	WasServed            bool                     // has had a response other than a client error; 429 counts as served
 	Parser               http1.RequestParserState // buffered input and parser state
+	Arrivals             []Arrival                // of the buffered input; missing if the predecessor does not tell
 }
 
 // ListenerAddresses returns the addresses of the listeners, in the order in which they were opened.
@@ -103,7 +104,8 @@
 		return
 	}
 	st := ConnState{ListenerAddress: c.listener.address, Unsent: c.unsent, PhaseSince: c.phaseSince,
-		OpenedAt: c.openedAt, WasServed: c.wasServed, Parser: c.parser.State()}
+		OpenedAt: c.openedAt, WasServed: c.wasServed, Parser: c.parser.State(),
+		Arrivals: c.arrivals.ofBuffered(c.parser.Buffered())}
 	fd := c.source.Detach()
 	c.removeFromList()
 	delete(c.server.conns, c)
@@ -131,7 +133,8 @@
 		return err
 	}
 	c := &Conn{server: s, listener: s.listeners[i], parser: parser, unsent: st.Unsent, phaseSince: st.PhaseSince,
-		openedAt: st.OpenedAt, lastReadAt: s.loop.Now(), wasServed: st.WasServed}
+		openedAt: st.OpenedAt, lastReadAt: s.loop.Now(), wasServed: st.WasServed,
+		arrivals: restoreArrivals(st.Arrivals, len(st.Parser.Buffered))}
 	if err := s.register(c, fd); err != nil {
 		return err
 	}
