Buffer a long pipelined request instead of dropping it behind a response

What callers saw: the connection's end in place of an answer to a request of over 80 KB that was pipelined behind another one, also where the answer before was being relayed and had not announced that end. Cause: Conn.discardOverflow dropped all pipelined input over a head and a whole body, so as to find the end of a client that leaves, and closed the connection behind the current response. Evidence: the pairs of request forms: all 27 pipelined ones with a long second request, and none else, ended so. Tests: TestLongRequestBehindResponseInProgress (failed before: the input was discarded; passes), its client that leaves included, TestPipelinedInputOfAllConnectionsIsBounded, and TestRequestFormsFollowEachOther with all pairs of request forms, pipelined, one after the other and across a hand-over, which passes whole now.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -50,6 +50,9 @@
 	LingerTimeout time.Duration
 	// MaxLingerBytes bounds the bytes of a closed connection that are read and discarded.
 	MaxLingerBytes int
+	// MaxPipelinedBytes bounds the pipelined input of one connection that is buffered beyond a head and a body, which all
+	// may be. All connections together buffer at most MaxRelayBufferBytes of such input.
+	MaxPipelinedBytes int
 	// MaxAcceptsPerTurn bounds the connections accepted in one turn of the event loop.
 	MaxAcceptsPerTurn int
 	// MaxPipelinedPerTurn bounds the pipelined requests of one client that are started in one turn of the event loop.
@@ -267,6 +270,7 @@
 		EvictionGrace:          25 * time.Millisecond,
 		LingerTimeout:          time.Second,
 		MaxLingerBytes:         1 << 20,
+		MaxPipelinedBytes:      1 << 20,
 		MaxAcceptsPerTurn:      64,
 		MaxPipelinedPerTurn:    16,
 		MaxManagementConns:     16,
--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -176,6 +176,97 @@
 	return result
 }
 
+// requestForm is one form of a request in HTTP/1.1, with the response that it is to get.
+type requestForm struct {
+	name, method, text string
+	want               clientResult
+}
+
+// requestForms returns the forms of requests of which no state may be left on a connection. The body of the last POST is
+// complete in the buffer, behind which the next request may follow, when it is found to be too long to be buffered whole.
+func requestForms() []requestForm {
+	long := strings.Repeat("0123456789abcdef", 6<<10)
+	chunk := func(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+	const last, chunked = "0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n"
+	ok := func(body string) clientResult { return clientResult{status: 200, body: body} }
+	justOver := long[:testBodyThreshold+100]
+	return []requestForm{
+		{"get", "GET", "GET /reply HTTP/1.1\r\n\r\n", ok("GET ")},
+		{"get, relayed", "GET", "GET /relay HTTP/1.1\r\n\r\n", ok("GET ")},
+		{"get, relayed with length", "GET", "GET /sized HTTP/1.1\r\n\r\n", ok("GET ")},
+		{"head", "HEAD", "HEAD /reply HTTP/1.1\r\n\r\n", clientResult{status: 405}},
+		{"HTTP/1.0", "GET", "GET /reply HTTP/1.0\r\nConnection: keep-alive\r\n\r\n", ok("GET ")},
+		{"empty line and line feeds", "GET", "\r\nGET /relay HTTP/1.1\nX: y\n\n", ok("GET ")},
+		{"length", "POST", "POST /reply HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", ok("POST body")},
+		{"length 0", "POST", "POST /relay HTTP/1.1\r\nContent-Length: 0\r\n\r\n", ok("POST ")},
+		{"continue", "POST", "POST /reply HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\nbody", ok("POST body")},
+		{"long", "POST", fmt.Sprintf("POST /relay HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(long), long), ok("POST " + long)},
+		{"long, continue", "POST", fmt.Sprintf("POST /reply HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n%s",
+			len(long), long), ok("POST " + long)},
+		{"chunked", "POST", "POST /sized HTTP/1.1\r\n" + chunked + chunk("one") + chunk("two") + last, ok("POST onetwo")},
+		{"chunked with extension and trailers", "POST", "POST /reply HTTP/1.1\r\n" + chunked +
+			"3;x=y\r\none\r\n0\r\nCheck: 1\r\n\r\n", ok("POST one")},
+		{"long and chunked", "POST", "POST /relay HTTP/1.1\r\n" + chunked + chunk(long) + last, ok("POST " + long)},
+		{"chunked, just over the threshold", "POST", "POST /reply HTTP/1.1\r\n" + chunked + chunk(justOver) + last,
+			ok("POST " + justOver)},
+	}
+}
+
+// malformedForm returns a request that is no valid one. Its response is the last of its connection.
+func malformedForm() requestForm {
+	return requestForm{"malformed", "GET", "GET /reply\r\n\r\n", clientResult{status: 400, body: "protocol \"\""}}
+}
+
+// delivery is how the second of two requests of a connection follows the first.
+type delivery string
+
+const (
+	pipelined      delivery = "pipelined"           // both written at once
+	afterResponse  delivery = "after the response"  // written when the first one's response has been received
+	handedOver     delivery = "handed over"         // as afterResponse, to another server that continues the connection
+	handedOverHalf delivery = "half of it buffered" // its first bytes with the first request, the rest to the other server
+)
+
+// Guards against state of one request that affects the next on its connection: after a request of any form, one of any
+// form is received and answered as on a new connection, also if another process continues the connection between the two.
+func TestRequestFormsFollowEachOther(t *testing.T) {
+	for _, first := range requestForms() {
+		for _, second := range append(requestForms(), malformedForm()) {
+			for _, d := range []delivery{pipelined, afterResponse, handedOver, handedOverHalf} {
+				t.Run(fmt.Sprintf("%s; %s; %s", first.name, second.name, d), func(t *testing.T) {
+					checkFollowingRequest(t, first, second, d)
+				})
+			}
+		}
+	}
+}
+
+// checkFollowingRequest sends two requests on one connection and checks both responses.
+func checkFollowingRequest(t *testing.T, first, second requestForm, d delivery) {
+	const bufferedBytes = 8 // of the second request, with handedOverHalf
+	w := newExchangeWorld(t, exchangeBounds())
+	switch d {
+	case pipelined:
+		w.send(first.text + second.text)
+	case handedOverHalf:
+		w.send(first.text + second.text[:bufferedBytes])
+	default:
+		w.send(first.text)
+	}
+	require.Equal(t, first.want, w.receive(first.method))
+	switch d {
+	case afterResponse:
+		w.send(second.text)
+	case handedOver:
+		w.handOver()
+		w.send(second.text)
+	case handedOverHalf:
+		w.handOver()
+		w.send(second.text[bufferedBytes:])
+	}
+	require.Equal(t, second.want, w.receive(second.method))
+}
+
 // Guards against the method of one request deciding about the response to the next: the error response to what follows a
 // HEAD request was sent without its body, though with its length.
 func TestErrorAfterHeadRequestHasItsBody(t *testing.T) {
@@ -243,3 +334,53 @@
 	require.Equal(t, 200, w.receive("GET").status)
 	require.Less(t, w.handler.requests[1].age, wait, "a request's time runs from its last byte")
 }
+
+// Guards against a request that is lost behind a response in progress: what a client pipelined was discarded if it was more
+// than a head and a body that are buffered whole, and its connection closed behind the response. A client that leaves
+// meanwhile must be noticed.
+func TestLongRequestBehindResponseInProgress(t *testing.T) {
+	const systemBytes = 32 << 10 // of the body that is not read; the end of the client's stream fits behind them
+	for _, leaves := range []bool{false, true} {
+		body := strings.Repeat("x", 700<<10)
+		if leaves {
+			body = body[:exchangeBounds().MaxHeaderBytes+2*testBodyThreshold+systemBytes]
+		}
+		bounds := exchangeBounds()
+		bounds.MaxPipelinedBytes = testBodyThreshold // so that most of the body waits in the system's buffers
+		w := newExchangeWorld(t, bounds)
+		held := &recordingHandler{}
+		w.old.listeners[0].handler = held
+		w.send("GET /held HTTP/1.1\r\n\r\n" + fmt.Sprintf("POST /reply HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		nettest.Until(t, w.loop, func() bool { return len(held.pending) == 1 && held.pending[0].isPipelineFull() })
+		require.Zero(t, held.pending[0].overflowBytes)
+		if leaves {
+			require.NoError(t, w.client.Close())
+			nettest.Until(t, w.loop, func() bool { return w.old.OpenConnections() == 0 })
+			continue
+		}
+		w.old.listeners[0].handler = w.handler
+		pipe := flow.New(100, -1)
+		held.pending[0].Relay(200, nil, pipe, func(bool) {})
+		pipe.Append([]byte("first"))
+		pipe.CloseWrite(true)
+		require.Equal(t, clientResult{status: 200, body: "first"}, w.receive("GET"))
+		require.Equal(t, clientResult{status: 200, body: "POST " + body}, w.receive("POST"))
+	}
+}
+
+// When the memory for the pipelined input of all connections is used up, the response in progress announces that what
+// follows is not processed.
+func TestPipelinedInputOfAllConnectionsIsBounded(t *testing.T) {
+	bounds := exchangeBounds()
+	bounds.MaxPipelinedBytes, bounds.MaxRelayBufferBytes = 1<<20, testBodyThreshold
+	w := newExchangeWorld(t, bounds)
+	held := &recordingHandler{}
+	w.old.listeners[0].handler = held
+	w.send("GET /held HTTP/1.1\r\n\r\n" + strings.Repeat("GET /reply HTTP/1.1\r\n\r\n", 20<<10))
+	nettest.Until(t, w.loop, func() bool { return len(held.pending) == 1 && held.pending[0].overflowBytes > 0 })
+	require.Zero(t, held.pending[0].parser.Buffered())
+	held.pending[0].Reply(200, nil, nil)
+	resp, err := http.ReadResponse(w.reader, nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+}
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -132,7 +132,7 @@
 			events |= loop.In
 		}
 	case c.overflowBytes > c.server.bounds.MaxLingerBytes:
-	case c.awaitingResponse, c.parser.Buffered() <= c.maxBufferedBytes():
+	case c.awaitingResponse && !c.isPipelineFull(), c.parser.Buffered() <= c.maxBufferedBytes():
 		events |= loop.In
 	}
 	if len(c.unsent) > 0 || c.relay != nil && len(c.relay.pipe.Bytes()) > 0 {
