TestBackoff: dial a port that nobody else can get

Cause: a fault of the test. It closed a listener and took its port for one that refuses. Evidence: with a second listener on that port the test fails as it did then (backoff 10 ms for 80 ms). Change: a socket that is bound and does not listen holds the port for the whole test. No check is changed.

--- a/internal/net/controlclient/client_test.go
+++ b/internal/net/controlclient/client_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"ferryfront.example/ferryfront/internal/controlgroup"
 	"ferryfront.example/ferryfront/internal/limits"
@@ -225,15 +226,23 @@
 	}
 }
 
+// refusingAddress returns an address that refuses connections until the end of the test. A socket that is bound to it and
+// does not listen keeps others from getting its port, for a listener or as the source of a connection.
+func refusingAddress(t *testing.T) string {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := loop.LocalAddress(fd)
+	require.NoError(t, err)
+	return address
+}
+
 // Unreachable replicas are dialled at growing intervals, and at the first interval again once one has sent a message.
 func TestBackoff(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	addr := listener.Addr().String()
-	require.NoError(t, listener.Close())
 	s := openClient(t, 0, func(l *limits.Limits) {
 		l.InitialBackoff, l.MaxBackoff = 10*time.Millisecond, 80*time.Millisecond
-	}, addr)
+	}, refusingAddress(t))
 	end := s.loop.Now() + 600*time.Millisecond
 	dials, last := 0, (*loop.Timer)(nil)
 	s.waitUntil(t, func() bool {
