Ignore SIGHUP from when the program is loaded until it is caught

What operators saw: a process that got SIGHUP in its first some 10 ms ended. Cause: the Go runtime handles SIGHUP from its start and ends the process until a package has asked for the signal; before its start the system does. Blocking the signal does not help: the runtime unblocks what ends a process. Change: internal/earlysignals ignores SIGHUP by a constructor that runs when the program is loaded. The runtime leaves an ignored SIGHUP alone until signal.Notify. What is ignored is not missed: the configuration is read later. Test: TestReloadSignalsDuringStart waited for 12 ms, which are too few on a busy machine and more than needed. It sends from when the process ignores or catches SIGHUP, 1 to 2 ms after its start. On the code before it fails. SIGHUP before the program is loaded still ends the process.

--- a/cmd/ferryfront/rapid_reload_test.go
+++ b/cmd/ferryfront/rapid_reload_test.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -70,17 +74,42 @@
 	require.Equal(t, calls, env.counter.Calls())
 }
 
-// runtimeStartTime is how long a new process can't handle signals, because the Go runtime hasn't started yet.
-const runtimeStartTime = 12 * time.Millisecond
+// waitUntilHangupsAreHandled waits until a process that was just started ignores or catches SIGHUP. That is when its program
+// is loaded, before the runtime starts.
+func (env *testEnv) waitUntilHangupsAreHandled() {
+	status := fmt.Sprintf("/proc/%d/status", env.cmd.Process.Pid)
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(100 * time.Microsecond) {
+		text, err := os.ReadFile(status)
+		require.NoError(env.t, err)
+		if (signalMask(env.t, string(text), "SigIgn:")|signalMask(env.t, string(text), "SigCgt:"))&signalBit(syscall.SIGHUP) != 0 {
+			return
+		}
+	}
+	require.Fail(env.t, "the process does not handle SIGHUP")
+}
+
+// signalMask returns the signal mask with a name from the status of a process, as the system shows it.
+func signalMask(t *testing.T, status, name string) uint64 {
+	_, rest, found := strings.Cut(status, name)
+	require.True(t, found, name)
+	text, _, _ := strings.Cut(rest, "\n")
+	mask, err := strconv.ParseUint(strings.TrimSpace(text), 16, 64)
+	require.NoError(t, err)
+	return mask
+}
+
+// signalBit returns the bit of a signal in a signal mask.
+func signalBit(s syscall.Signal) uint64 { return 1 << (uint(s) - 1) }
 
-// SIGHUP arrives while a process starts. It becomes ready and reads its configuration again.
+// SIGHUP arrives while a process starts, from when its program is loaded. It becomes ready and reads its configuration
+// again.
 func TestReloadSignalsDuringStart(t *testing.T) {
 	env := newTestEnv(t).withAdmin().start()
 	env.signal(syscall.SIGTERM)
 	require.Zero(t, env.waitForExit())
 	for range 5 {
 		env.launch()
-		time.Sleep(runtimeStartTime)
+		env.waitUntilHangupsAreHandled()
 		stop := time.Now().Add(150 * time.Millisecond)
 		for time.Now().Before(stop) {
 			env.signal(syscall.SIGHUP)
--- a/internal/earlysignals/earlysignals.go
+++ b/internal/earlysignals/earlysignals.go
@@ -1,6 +1,6 @@
-// Package earlysignals catches SIGHUP from the initialization of the program on. By default that signal ends a process,
-// and the initialization of other packages takes long enough for a reload to be requested meanwhile. The package only
-// catches the signals; the program reads them from Hangups and acts on them.
+// Package earlysignals keeps SIGHUP from ending the process while it starts, which that signal does by default. It ignores
+// the signal from when the program is loaded, and catches it from its own initialization on. The program reads the signals
+// from Hangups and acts on them. One that is ignored is not missed, because the program reads its configuration later.
 package earlysignals
 
 import (
