Count the wait of connections in the accept queue also on a busy machine

Cause: clientListener forgot since when connections may have waited if its socket was not reported within 10 ms of being polled again. On a busy machine the next poll is later than that and reports those that waited. Change: it goes by polls (Loop.PollCount): if one has passed without reporting the socket, none waited. Test: TestRequestAgeIncludesAcceptDelay with a turn of 40 ms before that poll.

--- a/internal/net/downstream/close_test.go
+++ b/internal/net/downstream/close_test.go
@@ -88,18 +88,27 @@
 		_, err := io.WriteString(dial(t, address), "GET /x HTTP/1.1\r\n\r\n")
 		require.NoError(t, err)
 	}
+	const (
+		idleTime    = 40 * time.Millisecond
+		maxAge      = 10 * time.Millisecond // of a request that did not wait
+		acceptDelay = 60 * time.Millisecond
+		busyTime    = 40 * time.Millisecond // of a turn, less than what counts as a stall
+	)
 	sendRequest() // accept stops after one connection per turn, so others may be waiting; none is
 	nettest.Until(t, l, func() bool { return len(h.conns) == 1 })
-	time.Sleep(4 * readinessDelay)
+	time.Sleep(idleTime)
 	nettest.Until(t, l, func() bool { return true })
 	sendRequest()
 	nettest.Until(t, l, func() bool { return len(h.conns) == 2 })
-	require.Less(t, h.ages[1], readinessDelay)
+	require.Less(t, h.ages[1], maxAge)
 	sendRequest()
 	nettest.Until(t, l, func() bool { return s.acceptPaused })
-	const acceptDelay = 60 * time.Millisecond
 	freed := false
-	l.After(acceptDelay, func() { freed = true; h.conns[0].close(closedIdle) })
+	l.After(acceptDelay, func() {
+		freed = true
+		h.conns[0].close(closedIdle)
+		time.Sleep(busyTime) // the next poll is late, and reports the waiting connection all the same
+	})
 	nettest.Until(t, l, func() bool { return freed && len(h.conns) == 3 })
 	require.GreaterOrEqual(t, h.ages[2], acceptDelay-time.Millisecond)
 }
--- a/internal/net/downstream/eviction.go
+++ b/internal/net/downstream/eviction.go
@@ -98,7 +98,7 @@
 // watchListeners polls the listeners again.
 func (s *Server) watchListeners() {
 	for _, ln := range s.listeners {
-		ln.armedAt = s.loop.Now()
+		ln.armedPoll = s.loop.PollCount()
 		ln.source.SetEvents(loop.In)
 	}
 }
--- a/internal/net/downstream/listener.go
+++ b/internal/net/downstream/listener.go
@@ -18,9 +18,10 @@
 	handler Handler
 
 	// backlogSince is the time since which connections may be waiting to be accepted; 0: none is known to wait.
-	// armedAt is when polling last resumed, or accept last stopped before the queue was known to be empty. If connections
-	// wait at armedAt, epoll reports the socket within readinessDelay; if it does not, none waited.
-	backlogSince, armedAt time.Duration
+	backlogSince time.Duration
+	// armedPoll is the loop's poll count when polling last resumed, or when accept last stopped before the queue was known
+	// to be empty. If connections waited then, the next poll reports the socket.
+	armedPoll uint64
 }
 
 // backlogDelay returns how long a connection that is accepted now may have waited.
@@ -33,19 +34,17 @@
 
 // noteBacklog records that connections may still be waiting after accept has stopped.
 func (ln *clientListener) noteBacklog() {
-	ln.armedAt = ln.server.loop.Now()
+	l := ln.server.loop
+	ln.armedPoll = l.PollCount()
 	if ln.backlogSince == 0 {
-		ln.backlogSince = ln.armedAt - ln.server.loop.MaxReadDelay()
+		ln.backlogSince = l.Now() - l.MaxReadDelay()
 	}
 }
 
-// readinessDelay is the time after armedAt within which epoll has certainly reported waiting connections.
-const readinessDelay = 10 * time.Millisecond
-
-// expireBacklog clears the backlog if epoll did not report one within readinessDelay of armedAt: connections that are
-// accepted now arrived later.
+// expireBacklog clears the backlog if a poll has passed without reporting the socket: connections that are accepted now
+// arrived later.
 func (ln *clientListener) expireBacklog() {
-	if !ln.server.acceptPaused && ln.server.loop.Now()-ln.armedAt > ln.server.loop.MaxReadDelay()+readinessDelay {
+	if !ln.server.acceptPaused && ln.server.loop.PollCount() > ln.armedPoll+1 {
 		ln.backlogSince = 0
 	}
 }
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -73,6 +73,7 @@
 	hasFirst        bool          // ServeFirst was called for some source, now or earlier
 	hasLast         bool          // some ready source of this turn is to be served last
 	polledAt        time.Duration // when the last wait for events returned
+	pollCount       uint64        // number of waits that reported all ready descriptors
 	stalledSince    time.Duration // when the process began to stall; 0 once all that arrived meanwhile has been read
 	turnStart       func(now time.Duration)
 	posted          chan func()
@@ -150,6 +151,10 @@
 	return l.now - l.stalledSince
 }
 
+// PollCount returns how many waits for events have reported all descriptors that were ready. A descriptor that was ready
+// when the count was n has been reported once it is n+1, and one that was not reported was not ready then.
+func (l *Loop) PollCount() uint64 { return l.pollCount }
+
 // HasStalled reports whether the process has stalled within this turn, that is, whether the turn has already lasted longer
 // than half of stallThreshold. What was found at the start of the turn may then be out of date, and nothing that depends
 // on it should be started.
@@ -355,6 +360,9 @@
 func (l *Loop) pollEvents(milliseconds int) (n int, err error) {
 	for range maxWaitAttempts {
 		if n, err = system.wait(l.epollFD, l.ready, milliseconds); !errors.Is(err, unix.EINTR) {
+			if err == nil && n < len(l.ready) {
+				l.pollCount++
+			}
 			return max(n, 0), err
 		}
 		milliseconds = 0
