Tell the old process of an upgrade where the new one's orders may have run

Cause: where a request with a key may have run is in core.keyTable. The old process tells it to the new one; nothing told it back, so the keys that the new process had sent ended with it. Change: the new process tells each attempt that is the first to use a key, before it is sent, and those that have certainly not run, until the old process has ended. Older builds ignore both messages.

--- a/cmd/ferryfront/replace_test.go
+++ b/cmd/ferryfront/replace_test.go
@@ -236,6 +236,51 @@
 	require.Equal(t, 200, env.mustDo(env.request("GET", "/api/41", "stock", nil)).status)
 }
 
+// Guards against orders that run in two cells: a successor is killed while its orders are in flight, and the old process, which
+// serves again, sent their repeats to hosts of any cell.
+func TestOrdersStayInCellWhenSuccessorIsKilled(t *testing.T) {
+	const orders = 12
+	env := newTestEnv(t).withHandoverDir()
+	for _, id := range []string{"h1", "h2", "h3"} {
+		env.hosts[id] = func(_ http.ResponseWriter, r *http.Request) {
+			env.record(r.Header.Get("Idempotency-Key") + " " + id)
+			if strings.HasPrefix(r.Header.Get("Request-Id"), "first") {
+				_, _ = io.ReadAll(r.Body) // the server notices a closed connection only after the body
+				<-r.Context().Done()
+			}
+		}
+	}
+	env.start()
+	old := env.firstProcess()
+	successor := env.startReplacement()
+	env.eventually(successor.isReady)
+	order := func(try string, i int) *http.Request {
+		return env.request("POST", fmt.Sprintf("/api/%x", 100+i), "order", strings.NewReader("x"), "Request-Id",
+			fmt.Sprint(try, i), "Idempotency-Key", fmt.Sprint("k", i))
+	}
+	for i := range orders {
+		r := order("first", i)
+		r.GetBody = nil // the client must not repeat it by itself
+		go func() { _, _ = env.do(r) }()
+	}
+	env.eventually(func() bool { return len(env.recorded()) == orders })
+	require.NoError(t, successor.cmd.Process.Kill())
+	<-successor.done
+	env.eventually(old.isReady)
+	for i := range orders {
+		require.Equal(t, 200, env.mustDo(order("again", i)).status)
+	}
+	hosts := map[string]string{}
+	for _, record := range env.recorded() {
+		key, host, _ := strings.Cut(record, " ")
+		if hosts[key] == "" {
+			hosts[key] = host
+		}
+		require.Equal(t, hosts[key], host, "%s ran in two cells", key)
+	}
+	require.Len(t, hosts, orders)
+}
+
 // SIGHUP and SIGTERM reach the old process at various times of a replacement. The new process serves, with a handover or
 // without.
 func TestSignalsDuringAReplacement(t *testing.T) {
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -36,6 +36,8 @@
 	if s.idempotencyKey != "" {
 		if windowEnd := c.idempotencyKeys.recordAttempt(s.idempotencyKey, action.Server, c.now, s.repeatWindow); windowEnd > 0 {
 			c.timers.Push(windowEnd-c.deadlineMargin, timer{kind: repeatWindowTimer, ref: ref})
+		} else {
+			c.idempotencyKeys.notifySent(s.idempotencyKey)
 		}
 	}
 	timeout := s.deadline - c.now
@@ -69,6 +71,7 @@
 		discardAnswer(answer)
 	}
 	if s.idempotencyKey != "" && neverRan(outcome) {
+		c.idempotencyKeys.notifyNotRun(s.idempotencyKey, a.Host, a.StartedAt)
 		c.idempotencyKeys.clearAttempt(s.idempotencyKey, a.Host, a.StartedAt)
 	}
 	ev := admission.AttemptEnded{ID: s.id, Attempt: ref.Attempt, Server: a.Host, Outcome: outcome, Took: a.Took,
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -297,6 +297,49 @@
 	require.Empty(t, table.entries, "a key that was never sent is forgotten at once")
 }
 
+// keyRelay passes what a successor's core reports of its keys to its predecessor's core.
+type keyRelay struct {
+	predecessor *Core
+	isSent      func() bool // a request has been sent to a host
+	wasSent     []bool      // isSent at each KeySent
+}
+
+func (r *keyRelay) KeySent(k KeyState) {
+	r.wasSent = append(r.wasSent, r.isSent())
+	r.predecessor.SuccessorKeySent(k)
+}
+func (r *keyRelay) KeyNotRun(k KeyState) { r.predecessor.SuccessorKeyNotRun(k) }
+
+// A predecessor knows the keys that its successor sends, before they are sent, and forgets those of attempts that did not
+// run. It must not be informed of attempts of its own.
+func TestPredecessorKnowsKeysOfSuccessor(t *testing.T) {
+	predecessor, _, _, _ := newTestCore(sendToHost)
+	successor, _, env, _ := newTestCore(sendToHost)
+	successor.idempotencyKeys.repeatWindows = []time.Duration{time.Second}
+	successor.ServerListReceived(admission.ServerList{Servers: []admission.ServerEntry{{Name: "h", Zone: "a", Cell: 3}}})
+	relay := &keyRelay{predecessor: predecessor, isSent: func() bool { return len(env.calls) > 0 }}
+	successor.ObserveKeys(relay)
+	r := env.request(time.Minute)
+	r.IdempotencyKey = "k"
+	id := successor.StartStream(10*ms, r)
+	successor.Turn(10 * ms)
+	require.Equal(t, []string{"start h"}, env.calls)
+	require.Equal(t, []bool{false}, relay.wasSent)
+	keys := &predecessor.idempotencyKeys
+	require.Equal(t, &admission.PriorAttempt{Server: "h", Zone: "a", Cell: 3, SentAt: 10 * ms}, keys.priorAttempt("k", 20*ms))
+	require.False(t, keys.isInUse("k"), "its stream has ended with the successor")
+	successor.UpstreamEnded(20*ms, Ref{id, 0}, admission.Full, Answer{})
+	require.Empty(t, keys.entries)
+	successor.predecessorStreams[7] = StreamState{ID: 7, IdempotencyKey: "own"}
+	successor.idempotencyKeys.acquire("own", 7)
+	successor.PredecessorAttemptStarted(7, "h", 20*ms)
+	successor.PredecessorAttemptEnded(7, "h", 20*ms, admission.Full)
+	require.Len(t, relay.wasSent, 1)
+	predecessor.SuccessorKeySent(KeyState{Key: "k", Host: "h", StartedAt: 30 * ms, ExpiresAt: 2 * time.Second})
+	keys.removeExpired(2 * time.Second)
+	require.Empty(t, keys.entries)
+}
+
 // An event that restricts the module must be handled before requests that are left over from the last turn.
 func TestEnqueueFirst(t *testing.T) {
 	c, module, env, _ := newTestCore(func(admission.Event) []admission.Action { return nil })
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -19,6 +19,28 @@
 	StreamDone(stream uint64, at time.Duration)
 }
 
+// KeyObserver is informed of where a core's requests with an idempotency key may have run, so that its predecessor knows if
+// it has to serve again.
+type KeyObserver interface {
+	// KeySent is called before an attempt is sent that is the first to use the key within its window.
+	KeySent(k KeyState)
+	// KeyNotRun is called when that attempt has certainly not run.
+	KeyNotRun(k KeyState)
+}
+
+// ObserveKeys informs an observer of idempotency keys from now on; nil ends that.
+func (c *Core) ObserveKeys(observer KeyObserver) { c.idempotencyKeys.observer = observer }
+
+// SuccessorKeySent records that the successor is sending a request with a key to a host, in case it dies and this process
+// serves again.
+func (c *Core) SuccessorKeySent(k KeyState) { c.idempotencyKeys.recordForeignAttempt(k) }
+
+// SuccessorKeyNotRun records that the attempt which the successor had recorded has not run.
+func (c *Core) SuccessorKeyNotRun(k KeyState) {
+	c.idempotencyKeys.clearAttempt(k.Key, k.Host, k.StartedAt)
+	c.idempotencyKeys.release(k.Key, 0)
+}
+
 // Snapshot holds a core's streams and idempotency keys for its successor.
 type Snapshot struct {
 	LastID  uint64 // last id given to a stream or probe
@@ -51,12 +73,7 @@
 	slices.SortFunc(snapshot.Streams, func(a, b StreamState) int { return cmp.Compare(a.ID, b.ID) })
 	for key, entry := range c.idempotencyKeys.entries {
 		if entry.mayHaveRun || entry.streamID != 0 {
-			state := KeyState{Key: key, StreamID: entry.streamID}
-			if entry.mayHaveRun {
-				state.Host, state.Zone, state.Cell, state.StartedAt, state.ExpiresAt = entry.host, entry.location.zone,
-					entry.location.cell, entry.startedAt, entry.expiresAt
-			}
-			snapshot.Keys = append(snapshot.Keys, state)
+			snapshot.Keys = append(snapshot.Keys, entry.state(key))
 		}
 	}
 	slices.SortFunc(snapshot.Keys, func(a, b KeyState) int { return cmp.Compare(a.Key, b.Key) })
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -15,6 +15,7 @@
 	entries       map[string]*keyEntry
 	hostLocations map[string]location // by host name
 	expirations   []keyExpiry         // keys whose stream has finished, in the order of the finish
+	observer      KeyObserver         // nil: none
 }
 
 // keyEntry is the state of an idempotency key.
@@ -27,6 +28,16 @@
 	expiresAt  time.Duration // end of the repeat window
 }
 
+// state returns the state of an entry with the given key, for another process.
+func (e *keyEntry) state(key string) KeyState {
+	state := KeyState{Key: key, StreamID: e.streamID}
+	if e.mayHaveRun {
+		state.Host, state.Zone, state.Cell = e.host, e.location.zone, e.location.cell
+		state.StartedAt, state.ExpiresAt = e.startedAt, e.expiresAt
+	}
+	return state
+}
+
 // keyExpiry is the time at which a key is forgotten. It is checked when a request arrives and not by a timer: a turn of
 // the event loop for it would cost as much as one for a request.
 type keyExpiry struct {
@@ -121,11 +132,42 @@
 	return 0
 }
 
+// notifySent informs the observer, if there is one, of the attempt that is recorded for a key.
+func (t *keyTable) notifySent(key string) {
+	if entry := t.entries[key]; t.observer != nil && entry != nil && entry.mayHaveRun {
+		t.observer.KeySent(entry.state(key))
+	}
+}
+
+// recordForeignAttempt records that another process sends a request with the key. No stream of this process has the key.
+func (t *keyTable) recordForeignAttempt(k KeyState) {
+	entry := t.entries[k.Key]
+	if entry == nil {
+		entry = &keyEntry{}
+		t.entries[k.Key] = entry
+	}
+	entry.mayHaveRun, entry.host, entry.location = true, k.Host, location{k.Zone, k.Cell}
+	entry.startedAt, entry.expiresAt = k.StartedAt, k.ExpiresAt
+	if entry.streamID == 0 {
+		t.expirations = append(t.expirations, keyExpiry{k.Key, k.ExpiresAt})
+	}
+}
+
 // restartWindow restarts the window of the attempt that was recorded at the time startedAt. It is used when the rest of a
 // partial request has arrived, as the request can't have run before.
 func (t *keyTable) restartWindow(key, host string, startedAt, now, window time.Duration) {
 	if entry := t.entries[key]; entry != nil && entry.mayHaveRun && entry.host == host && entry.startedAt == startedAt {
 		entry.startedAt, entry.expiresAt = now, now+window
+		t.notifySent(key)
+	}
+}
+
+// notifyNotRun informs the observer, if there is one, that the attempt recorded at the time startedAt has not run. It is to be
+// called before clearAttempt.
+func (t *keyTable) notifyNotRun(key, host string, startedAt time.Duration) {
+	if entry := t.entries[key]; t.observer != nil && entry != nil && entry.mayHaveRun && entry.host == host &&
+		entry.startedAt == startedAt {
+		t.observer.KeyNotRun(entry.state(key))
 	}
 }
 
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/handover"
 	"ferryfront.example/ferryfront/internal/handover/pb"
 	"ferryfront.example/ferryfront/internal/handover/phase"
@@ -309,6 +310,7 @@
 	d := s.daemon
 	d.server.SetPredecessorConnections(int(s.commit.GetClients()))
 	d.upstreams.SetPredecessorConnections(int(s.commit.GetUpstreams()))
+	d.core.ObserveKeys(s)
 	d.server.Resume()
 	for _, f := range d.fronts {
 		f.onServing()
@@ -339,6 +341,7 @@
 	if n := d.core.PredecessorStreams(); n > 0 {
 		d.log.Warn("the old process has ended with open streams", "streams", n)
 	}
+	d.core.ObserveKeys(nil)
 	d.core.Execute(d.module.PredecessorGone(d.loop.Now()))
 	d.core.PredecessorExited()
 	d.server.SetPredecessorConnections(0)
@@ -347,3 +350,15 @@
 	setMemoryLimit(d.cfg.Limits, 1)
 	s.conn.Close()
 }
+
+// KeySent tells the predecessor that an attempt with an idempotency key is about to be sent, before it is. The message is in
+// the predecessor's socket then, so that it knows where the order may have run if this process dies. With KeyNotRun it
+// implements core.KeyObserver.
+func (s *successorRole) KeySent(k core.KeyState) {
+	s.send(&pb.Envelope{Body: &pb.Envelope_KeySent{KeySent: handover.EncodeKey(k)}})
+}
+
+// KeyNotRun tells the predecessor that such an attempt has certainly not run.
+func (s *successorRole) KeyNotRun(k core.KeyState) {
+	s.send(&pb.Envelope{Body: &pb.Envelope_KeyNotRun{KeyNotRun: handover.EncodeKey(k)}})
+}
--- a/internal/daemon/successorprocess.go
+++ b/internal/daemon/successorprocess.go
@@ -132,6 +132,10 @@
 		p.handle(phase.MessageReceived{Message: phase.Refused, Text: m.Refused.GetReason()})
 	case *pb.Envelope_Leaving:
 		p.handle(phase.MessageReceived{Message: phase.Leaving})
+	case *pb.Envelope_KeySent:
+		p.daemon.core.SuccessorKeySent(handover.DecodeKey(m.KeySent))
+	case *pb.Envelope_KeyNotRun:
+		p.daemon.core.SuccessorKeyNotRun(handover.DecodeKey(m.KeyNotRun))
 	default: // a message of a later version of the program, which this one may ignore
 	}
 }
--- a/internal/handover/convert.go
+++ b/internal/handover/convert.go
@@ -344,18 +344,35 @@
 		streams = append(streams, &pb.Stream{Id: s.ID, RequestId: s.RequestID, Key: s.IdempotencyKey})
 	}
 	for _, k := range snapshot.Keys {
-		keys = append(keys, &pb.Key{
-			Key:    k.Key,
-			Server: k.Host,
-			Zone:   k.Zone,
-			Cell:   int64(k.Cell),
-			At:     int64(k.StartedAt),
-			Stream: k.StreamID,
-			Until:  int64(k.ExpiresAt)})
+		keys = append(keys, EncodeKey(k))
 	}
 	return streams, keys
 }
 
+// EncodeKey makes a message of the state of an idempotency key.
+func EncodeKey(k core.KeyState) *pb.Key {
+	return &pb.Key{
+		Key:    k.Key,
+		Server: k.Host,
+		Zone:   k.Zone,
+		Cell:   int64(k.Cell),
+		At:     int64(k.StartedAt),
+		Stream: k.StreamID,
+		Until:  int64(k.ExpiresAt)}
+}
+
+// DecodeKey is the inverse of EncodeKey.
+func DecodeKey(k *pb.Key) core.KeyState {
+	return core.KeyState{
+		Key:       k.GetKey(),
+		Host:      k.GetServer(),
+		Zone:      k.GetZone(),
+		Cell:      int(k.GetCell()),
+		StartedAt: duration(k.GetAt()),
+		ExpiresAt: duration(k.GetUntil()),
+		StreamID:  k.GetStream()}
+}
+
 // DecodeStreams is the inverse of EncodeStreams. It also takes LastID from the message.
 func DecodeStreams(s *pb.Snapshot) core.Snapshot {
 	o := core.Snapshot{LastID: s.GetLastStream()}
@@ -366,14 +383,7 @@
 			IdempotencyKey: m.GetKey()})
 	}
 	for _, k := range s.GetKeys() {
-		o.Keys = append(o.Keys, core.KeyState{
-			Key:       k.GetKey(),
-			Host:      k.GetServer(),
-			Zone:      k.GetZone(),
-			Cell:      int(k.GetCell()),
-			StartedAt: duration(k.GetAt()),
-			ExpiresAt: duration(k.GetUntil()),
-			StreamID:  k.GetStream()})
+		o.Keys = append(o.Keys, DecodeKey(k))
 	}
 	return o
 }
