Rest upstream connections while a second answer may still arrive

Cause: Pool.takeIdle reused a connection at once. A second answer some milliseconds late was taken for that of the next request, and each later one for that of the request after its own. The guard was in force only if a copy had met an idle connection within the last minute, and for 10 ms; a copy that meets a request is not seen as one. Change: a connection rests for 25 ms after each answer, so that a copy meets it idle and closes it. At the connection limit none rests, and the guard before holds on. Tests: TestConnectionRestsWhileDuplicateMayArrive failed before and passes. TestLateDuplicateResponse and TestUnsolicitedBytesAreDetected held the reuse at once, which was the fault; they hold all their checks at the limit.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -65,8 +65,8 @@
 	ManagementConnTimeout time.Duration
 	// UpstreamIdleTimeout closes an upstream connection that is idle this long.
 	UpstreamIdleTimeout time.Duration
-	// UpstreamReuseDelay is the time after a response in which a second response to the same request may still arrive.
-	// Where hosts send such duplicates, a connection is not reused within it for requests that must not run twice.
+	// UpstreamReuseDelay is the time after a response in which a second response to the same request may still arrive, some
+	// milliseconds late. A connection is not reused within it, unless no other can be opened.
 	UpstreamReuseDelay time.Duration
 	// DialTimeout bounds the time to establish a connection.
 	DialTimeout time.Duration
@@ -278,7 +278,7 @@
 		ManagementConnTimeout:  6 * time.Second,
 		// Connections are closed here well before the host closes them.
 		UpstreamIdleTimeout: site.HostIdleTimeout * 8 / 10,
-		UpstreamReuseDelay:  10 * time.Millisecond,
+		UpstreamReuseDelay:  25 * time.Millisecond,
 		DialTimeout:         site.DialTimeout,
 
 		CounterConns:           min(maxCounterConns, max(minCounterConns, fleetCounterConns/max(1, site.Ingresses))),
--- a/internal/net/upstream/handover.go
+++ b/internal/net/upstream/handover.go
@@ -51,7 +51,7 @@
 func (p *Pool) AdoptConnection(name string, since time.Duration, fd int) error {
 	p.predecessorConns = max(0, p.predecessorConns-1)
 	h := p.hosts[name]
-	if h == nil || h.leaving || p.connCount+p.predecessorConns >= p.bounds.MaxUpstreamConns {
+	if h == nil || h.leaving || p.isFull() {
 		loop.CloseFD(fd)
 		return nil
 	}
--- a/internal/net/upstream/race_test.go
+++ b/internal/net/upstream/race_test.go
@@ -141,8 +141,47 @@
 	require.Equal(t, 1, p.OpenConnections())
 }
 
-// A host sends a duplicate response within the time in which one may arrive. It must not be taken for the response to
-// the next request, which ends as broken because it may have run. An at-most-once request must not use the connection.
+// Guards against clients that get the response made for another request: a late duplicate response was taken for the response
+// to the next request on its connection, and each later response for that of the request after its own. The connection must
+// not be used while a duplicate may arrive, and be closed by one.
+func TestConnectionRestsWhileDuplicateMayArrive(t *testing.T) {
+	sendDuplicate := make(chan struct{})
+	var dials atomic.Int32
+	l, p, sink := newTestPool(t, func(c net.Conn) {
+		isFirst := dials.Add(1) == 1
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			body := fmt.Sprintf("%v%d", isFirst, n)
+			_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+			if isFirst {
+				<-sendDuplicate
+				_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+			}
+		}
+	})
+	p.bounds.UpstreamReuseDelay = time.Hour
+	for n := 1; n <= 3; n++ {
+		startGet(p, n)
+		waitForOutcomes(t, l, sink, n)
+	}
+	bodies := []string{string(sink.answers[0].Body), string(sink.answers[1].Body), string(sink.answers[2].Body)}
+	require.Equal(t, []string{"true0", "false0", "false0"}, bodies)
+	require.Equal(t, 3, p.OpenConnections())
+	sendDuplicate <- struct{}{}
+	nettest.Until(t, l, func() bool { return p.OpenConnections() == 2 })
+	p.bounds.UpstreamReuseDelay = 0 // as if the time had passed
+	startGet(p, 4)
+	waitForOutcomes(t, l, sink, 4)
+	require.Equal(t, "false1", string(sink.answers[3].Body))
+	require.EqualValues(t, 3, dials.Load(), "a connection that has rested is used again")
+}
+
+// At the connection limit connections do not rest. A duplicate response within the time in which one may arrive must not be
+// taken for the response to the next request, which ends as broken because it may have run. An at-most-once request must not
+// use the connection.
 func TestLateDuplicateResponse(t *testing.T) {
 	sendDuplicate, sent := make(chan struct{}), make(chan struct{})
 	var isSecondConn atomic.Bool
@@ -167,6 +206,7 @@
 	waitForOutcomes(t, l, sink, 2)
 	require.Equal(t, "ok", string(sink.answers[1].Body))
 	p.hosts["h"].idle = p.hosts["h"].idle[:1] // leaves only the first connection for reuse
+	p.bounds.MaxUpstreamConns = p.OpenConnections()
 	startGet(p, 3)
 	close(sendDuplicate)
 	require.Equal(t, []admission.Outcome{admission.OK, admission.OK, admission.Broken}, waitForOutcomes(t, l, sink, 3))
@@ -174,8 +214,9 @@
 	require.Empty(t, p.hosts["h"].idle)
 }
 
-// Without unsolicited bytes, a connection is reused however soon the next request follows. A late duplicate response on
-// an idle connection must close it and be recorded, whether the loop reads it or the next request finds it.
+// Without unsolicited bytes, a connection is reused however soon the next request follows at the connection limit. A late
+// duplicate response on an idle connection must close it and be recorded, whether the loop reads it or the next request
+// finds it.
 func TestUnsolicitedBytesAreDetected(t *testing.T) {
 	sendDuplicate, sent := make(chan struct{}), make(chan struct{})
 	for _, readByLoop := range []bool{true, false} {
@@ -189,7 +230,7 @@
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nagain")
 			sent <- struct{}{}
 		})
-		p.bounds.UpstreamReuseDelay = time.Hour
+		p.bounds.UpstreamReuseDelay, p.bounds.MaxUpstreamConns = time.Hour, 1
 		startGet(p, 1)
 		waitForOutcomes(t, l, sink, 1)
 		startGet(p, 2)
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -83,7 +83,7 @@
 // connection that has been idle longest. The connection fails if it is not established within the dial timeout.
 // The error is errPoolExhausted or a system error.
 func (p *Pool) dial(host *upstreamHost) (*conn, error) {
-	if p.connCount+p.predecessorConns >= p.bounds.MaxUpstreamConns && !p.evictIdle() {
+	if p.isFull() && !p.evictIdle() {
 		return nil, errPoolExhausted
 	}
 	fd, err := loop.Dial(host.address)
--- a/internal/net/upstream/reuse.go
+++ b/internal/net/upstream/reuse.go
@@ -55,8 +55,8 @@
 }
 
 // takeIdle returns the idle connection that a message is to use, or nil for a new one. If reuse is too risky for the
-// message, it closes the oldest idle connection, so that the number of connections does not grow. An at-most-once
-// message does not use a connection on which a duplicate response may still arrive, see [conn.mayReceiveDuplicate].
+// message, it closes the oldest idle connection, so that the number of connections does not grow. A connection on which a
+// duplicate response may still arrive is used only at the connection limit, and never for an at-most-once message.
 func (p *Pool) takeIdle(h *upstreamHost, m *Message) *conn {
 	n := len(h.idle)
 	if n == 0 {
@@ -66,9 +66,10 @@
 		h.idle[0].close(errReuseRisky)
 		return nil
 	}
+	skipsResting := m.AtMostOnce || !p.isFull()
 	for i := n - 1; i >= 0; i-- {
 		c := h.idle[i]
-		if m.AtMostOnce && c.mayReceiveDuplicate() {
+		if skipsResting && c.mayReceiveDuplicate() {
 			continue
 		}
 		if !c.isQuiet() {
@@ -81,22 +82,28 @@
 	return nil
 }
 
-// mayReceiveDuplicate reports whether a duplicate of the previous response may still arrive: the pool has received
-// unsolicited bytes within unsolicitedMemory, and the previous response is younger than UpstreamReuseDelay. A duplicate
-// can't be distinguished from the response to the next request, so a successful response in that time counts as a broken
-// connection, see failPossibleDuplicate. Without unsolicited bytes, a response that follows so soon is trusted. If every
-// connection stayed unused for UpstreamReuseDelay, each request that only waits for the previous response would cost a
-// handshake.
+// mayReceiveDuplicate reports whether a duplicate of the previous response may still arrive, because that is younger than
+// UpstreamReuseDelay. It could not be distinguished from the response to the next request, and each later response of the
+// connection would then be taken for that of the request after its own. On a connection that rests instead, a duplicate is
+// unsolicited and closes it. Resting costs a connection for each request that comes in that time, and no further handshake
+// once there are as many.
 func (c *conn) mayReceiveDuplicate() bool {
-	now := c.pool.loop.Now()
-	return c.pool.unsolicitedAt > 0 && now-c.pool.unsolicitedAt < unsolicitedMemory &&
-		now-c.idleSince < c.pool.bounds.UpstreamReuseDelay
+	return c.pool.loop.Now()-c.idleSince < c.pool.bounds.UpstreamReuseDelay
 }
 
+// expectsDuplicates reports whether the pool has received unsolicited bytes within unsolicitedMemory.
+func (p *Pool) expectsDuplicates() bool {
+	return p.unsolicitedAt > 0 && p.loop.Now()-p.unsolicitedAt < unsolicitedMemory
+}
+
+// isFull reports whether a new connection could be opened only in place of another one.
+func (p *Pool) isFull() bool { return p.connCount+p.predecessorConns >= p.bounds.MaxUpstreamConns }
+
 // failPossibleDuplicate fails the request if its successful response may be a duplicate of the previous one. It reports
-// whether it did.
+// whether it did. It matters at the connection limit, where connections don't rest. Without unsolicited bytes lately, a
+// response that follows so soon is trusted.
 func (c *conn) failPossibleDuplicate(resp *http1.Response) bool {
-	if !c.isReused || c.isProbe || resp.Status != 200 || !c.mayReceiveDuplicate() {
+	if !c.isReused || c.isProbe || resp.Status != 200 || !c.pool.expectsDuplicates() || !c.mayReceiveDuplicate() {
 		return false
 	}
 	c.writtenAt = 0 // keeps fail from recording a reset
