Write a request only after its connection has rested, instead of dialing

Change: the request takes the connection that has rested longest and is written when its 25 ms are over, also at the connection limit. If bytes or the end of the stream come meanwhile it moves to another connection. No response can come within that time any more, so the guard against such (failPossibleDuplicate, unsolicitedAt) is gone. Tests: TestLateDuplicateResponse held that a request meets the copy and is failed for it; it holds now that it waits, whatever its class and at the connection limit, and gets its own answer. TestUnsolicitedBytesAreDetected keeps its checks but for the memory of copies, which is gone, and holds that the next request gets its own answer. New are TestRequestWaitsUntilConnectionHasRested and TestBodyWaitsUntilConnectionHasRested.

--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -33,7 +33,10 @@
 
 // SuccessorKeySent records that the successor is sending a request with a key to a host, in case it dies and this process
 // serves again.
-func (c *Core) SuccessorKeySent(k KeyState) { c.idempotencyKeys.recordForeignAttempt(k) }
+func (c *Core) SuccessorKeySent(k KeyState) {
+	c.idempotencyKeys.removeExpired(k.StartedAt) // no request arrives here meanwhile, which would remove them
+	c.idempotencyKeys.recordForeignAttempt(k)
+}
 
 // SuccessorKeyNotRun records that the attempt which the successor had recorded has not run.
 func (c *Core) SuccessorKeyNotRun(k KeyState) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -66,7 +66,7 @@
 	// UpstreamIdleTimeout closes an upstream connection that is idle this long.
 	UpstreamIdleTimeout time.Duration
 	// UpstreamReuseDelay is the time after a response in which a second response to the same request may still arrive, some
-	// milliseconds late. A connection is not reused within it, unless no other can be opened.
+	// milliseconds late. The next request on a connection is not written within it.
 	UpstreamReuseDelay time.Duration
 	// DialTimeout bounds the time to establish a connection.
 	DialTimeout time.Duration
--- a/internal/net/upstream/body.go
+++ b/internal/net/upstream/body.go
@@ -23,7 +23,7 @@
 func (c *conn) attachBody(pipe *flow.Pipe) {
 	c.body, c.bodyProgressAt = pipe, c.pool.loop.Now()
 	pipe.OnData = func() {
-		if c.isConnected && c.source.FD() >= 0 && len(c.unsent) == 0 {
+		if c.isConnected && c.message == nil && c.source.FD() >= 0 && len(c.unsent) == 0 {
 			c.flush()
 		}
 	}
@@ -75,12 +75,8 @@
 }
 
 // startRelay reports the outcome of a request whose response body is still being received, together with a pipe into
-// which the connection goes on moving the body. If the reader closes the pipe, the connection is closed. A response that
-// may be a duplicate fails the request instead.
+// which the connection goes on moving the body. If the reader closes the pipe, the connection is closed.
 func (c *conn) startRelay(resp *http1.Response) {
-	if c.failPossibleDuplicate(resp) {
-		return
-	}
 	c.traceRelayStarted(len(resp.Body))
 	ref := c.ref
 	c.earlyRelayTimer.Stop()
--- a/internal/net/upstream/hosts.go
+++ b/internal/net/upstream/hosts.go
@@ -47,12 +47,12 @@
 	}
 }
 
-// withdrawPending ends the requests that wait for a connection to a host that leaves or has moved, as not sent. Written
-// once the connection is established, they would reach the host long after the change was announced.
+// withdrawPending ends the requests that wait for a connection to a host that leaves or has moved, or until it has rested,
+// as not sent. Written then, they would reach the host after the change was announced.
 func (p *Pool) withdrawPending(host *upstreamHost) {
 	var waiting []*conn
 	for _, c := range p.active {
-		if c.host == host && !c.isConnected {
+		if c.host == host && c.message != nil {
 			waiting = append(waiting, c)
 		}
 	}
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -40,7 +40,8 @@
 	p.startRequest(ref, name, &Message{Method: "GET", Target: "/alive"}, wait, true)
 }
 
-// startRequest sends a request or probe on an idle connection, or on a new one once that is established.
+// startRequest sends a request or probe on an idle connection once that has rested, or on a new one once that is
+// established.
 func (p *Pool) startRequest(ref core.Ref, name string, m *Message, wait time.Duration, isProbe bool) {
 	h := p.hosts[name]
 	if h == nil {
@@ -53,8 +54,7 @@
 	}
 	if c := p.takeIdle(h, m); c != nil {
 		c.assign(exchange{ref: ref, isProbe: isProbe, isReused: true, message: m}, wait)
-		c.encodeRequest()
-		c.flush()
+		c.startRequest()
 		return
 	}
 	c, err := p.dial(h)
--- a/internal/net/upstream/response.go
+++ b/internal/net/upstream/response.go
@@ -15,6 +15,12 @@
 // read reads the socket and processes the response to the current request. On an idle connection, any input or the end
 // of the stream closes it.
 func (c *conn) read() {
+	if c.isResting() {
+		if !c.isQuiet() {
+			c.moveRequest()
+		}
+		return
+	}
 	buf := c.pool.loop.ReadBuffer()
 	for {
 		if c.relay != nil { // no more than the pipe has space for
@@ -41,7 +47,6 @@
 			return
 		}
 		if !c.hasRequest { // bytes that belong to no request
-			c.pool.unsolicitedAt = c.pool.loop.Now()
 			c.close(errUnexpectedInput)
 			return
 		}
@@ -89,9 +94,6 @@
 // response came before the request was completely written, or if more bytes follow it.
 func (c *conn) completeResponse(resp *http1.Response) {
 	ref, isProbe := c.ref, c.isProbe
-	if c.failPossibleDuplicate(resp) {
-		return
-	}
 	if !isProbe {
 		c.pool.resetStats.record(c.pool.loop.Now(), c.isReused, false)
 	}
--- a/internal/net/upstream/trace.go
+++ b/internal/net/upstream/trace.go
@@ -8,18 +8,17 @@
 
 // Causes for closing an upstream connection, or for not opening one, where there is no system error.
 var (
-	errPoolExhausted     = errors.New("all upstream connections in use")
-	errNoProgress        = errors.New("no progress of a request or response body")
-	errDeadlinePassed    = errors.New("request deadline passed before the connection was established")
-	errPossibleDuplicate = errors.New("response may be a duplicate of the previous one")
-	errIdleTimeout       = errors.New("idle timeout")
-	errCancelled         = errors.New("request cancelled")
-	errClientGone        = errors.New("client of the relayed response disconnected")
-	errNotReusable       = errors.New("not reusable after this response")
-	errHostChanged       = errors.New("host is leaving, moved, restarted or removed")
-	errUnexpectedInput   = errors.New("unexpected input or end of stream on an idle connection")
-	errReuseRisky        = errors.New("reused connections are reset more often than new ones")
-	errEvicted           = errors.New("evicted for a new connection")
+	errPoolExhausted   = errors.New("all upstream connections in use")
+	errNoProgress      = errors.New("no progress of a request or response body")
+	errDeadlinePassed  = errors.New("request deadline passed before the connection was established")
+	errIdleTimeout     = errors.New("idle timeout")
+	errCancelled       = errors.New("request cancelled")
+	errClientGone      = errors.New("client of the relayed response disconnected")
+	errNotReusable     = errors.New("not reusable after this response")
+	errHostChanged     = errors.New("host is leaving, moved, restarted or removed")
+	errUnexpectedInput = errors.New("unexpected input or end of stream on an idle connection")
+	errReuseRisky      = errors.New("reused connections are reset more often than new ones")
+	errEvicted         = errors.New("evicted for a new connection")
 )
 
 // traceNotOpened logs a failed dial for each request; the warning in startRequest is rate-limited.
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -46,8 +46,7 @@
 	requestsWritten   *uint64       // number of requests written completely, without probes
 	dialErrorLoggedAt time.Duration // last time that a failed dial was logged
 
-	resetStats    resetStats
-	unsolicitedAt time.Duration // last time that an idle connection received bytes; 0: never
+	resetStats resetStats
 
 	// predecessorConns is the number of upstream connections that the predecessor process still holds.
 	predecessorConns int
@@ -121,7 +120,8 @@
 
 	isProbe   bool
 	ref       core.Ref
-	message   *Message      // request that is encoded once the connection is established; nil: none
+	message   *Message      // request that is encoded once the connection is established and has rested; nil: none
+	restTimer *loop.Timer   // starts a request that waits until the connection has rested
 	deadline  time.Duration // in loop time
 	unsent    []byte        // encoded request bytes that the socket has not taken yet
 	writtenAt time.Duration // when the request was written completely
@@ -159,7 +159,9 @@
 }
 
 // isFullyWritten reports whether the last byte of the request is written.
-func (c *conn) isFullyWritten() bool { return c.isConnected && len(c.unsent) == 0 && c.body == nil }
+func (c *conn) isFullyWritten() bool {
+	return c.isConnected && c.message == nil && len(c.unsent) == 0 && c.body == nil
+}
 
 // reportOutcome passes the outcome of a request or probe to the sink.
 func (p *Pool) reportOutcome(ref core.Ref, isProbe bool, o admission.Outcome, a core.Answer) {
@@ -227,6 +229,7 @@
 	}
 	c.traceClosed(cause)
 	c.dialTimer.Stop()
+	c.restTimer.Stop()
 	c.earlyRelayTimer.Stop()
 	c.source.Close()
 	c.pool.connCount--
