Check a connection once before a request on it, and go on after a stall

Cause: a reused connection was checked for unread input twice before each request, which is one system call more. And a request whose connection had rested in a turn that stalled was put off within that turn, again and again. Change: only a request that has waited checks again, and it is put off to the next turn. Test: TestConnectionHasRestedAfterStall.

--- a/internal/net/upstream/race_test.go
+++ b/internal/net/upstream/race_test.go
@@ -218,6 +218,24 @@
 	require.EqualValues(t, 5, *p.requestsWritten)
 }
 
+// A connection has rested in a turn in which the process stalls. What arrived in the stall is read before its request is
+// written, in a later turn.
+func TestConnectionHasRestedAfterStall(t *testing.T) {
+	const rest, stall = 20 * time.Millisecond, 200 * time.Millisecond
+	connections := atomic.Int32{}
+	l, p, sink := newTestPool(t, duplicatingHost(nil, &connections))
+	p.bounds.UpstreamReuseDelay = rest
+	startGet(p, 1)
+	waitForOutcomes(t, l, sink, 1)
+	// Timers are served in the order of their times, and those of one millisecond in one turn.
+	l.At(p.hosts["h"].idle[0].idleSince+rest-time.Microsecond, func() { time.Sleep(stall) })
+	startGet(p, 2)
+	started := l.Now()
+	require.Equal(t, admission.OK, waitForOutcomes(t, l, sink, 2)[1])
+	require.GreaterOrEqual(t, l.Now()-started, stall)
+	require.EqualValues(t, 2, *p.requestsWritten)
+}
+
 // The beginning of a long request body waits with its head until the connection has rested.
 func TestBodyWaitsUntilConnectionHasRested(t *testing.T) {
 	l, p, sink := newTestPool(t, func(c net.Conn) {
--- a/internal/net/upstream/reuse.go
+++ b/internal/net/upstream/reuse.go
@@ -81,15 +81,22 @@
 	return max(0, c.idleSince+c.pool.bounds.UpstreamReuseDelay-c.pool.loop.Now())
 }
 
-// startRequest writes the request of a reused connection, at once or when the connection has rested.
+// startRequest writes the request of a reused connection, which was quiet just now, at once or when it has rested.
 func (c *conn) startRequest() {
 	if rest := c.restTime(); rest > 0 {
-		c.restTimer = c.pool.loop.After(rest, c.startRequest)
+		c.restTimer = c.pool.loop.After(rest, c.resumeRequest)
 		return
 	}
+	c.encodeRequest()
+	c.flush()
+}
+
+// resumeRequest writes the request of a connection that has rested, unless the request's deadline has passed or the
+// connection has received something meanwhile.
+func (c *conn) resumeRequest() {
 	switch {
 	case c.pool.loop.HasStalled(): // input that arrived in the stall is read first, next turn
-		c.restTimer = c.pool.loop.After(0, c.startRequest)
+		c.restTimer = c.pool.loop.After(time.Microsecond, c.resumeRequest)
 	case c.pool.loop.Now() >= c.deadline:
 		c.fail(errDeadlinePassed)
 	case !c.isQuiet():
