--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns an error if it could not run.
 var cases = map[string]func(r *rig.Rig) error{
 	"upgrade-in-outage": upgradeInOutage,
+	"refused-file":      refusedFile,
 }
 
 func main() { os.Exit(run()) }
