--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(r *rig.Rig) error{
 	"upgrade-in-outage": upgradeInOutage,
 	"refused-file":      refusedFile,
+	"taken-back":        takenBack,
 }
 
 func main() { os.Exit(run()) }
