Review case 9: an answer is cut off where its client rests for 3 s and its connection ends

Cause: Conn.closeGracefully begins its linger phase of 1 s with bytes of the answer unsent.

Seen: of 284 answers of 0.5 to 8 MB some lose up to their last 64 KiB, though the order server has given all of it.

--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -14,6 +14,7 @@
 	"upgrade-in-outage": upgradeInOutage,
 	"refused-file":      refusedFile,
 	"taken-back":        takenBack,
+	"slow-reader":       slowReader,
 }
 
 func main() { os.Exit(run()) }
