--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -15,6 +15,7 @@
 	"refused-file":      refusedFile,
 	"taken-back":        takenBack,
 	"slow-reader":       slowReader,
+	"moved-discovery":   movedDiscovery,
 }
 
 func main() { os.Exit(run()) }
