Review case 8: a request of the last 50 ms of a planned end is run and not answered

Cause: Conn.Relay decides on the connection's end when a long answer begins, finishResponse does not ask again, and streams are expired once, 50 ms before the process ends.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x review/bin/second ] || { echo "review/bin/second is not there: run review/build-2.sh"; exit 2; }
-exec review/bin/second taken-back "$folder/record.txt"
+exec review/bin/second planned-end "$folder/record.txt"
--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -9,13 +9,15 @@
 	"ferryfront.example/ferryfront/review/second/rig"
 )
 
-// cases are the cases by name. Each returns an error if it could not run.
+// cases are the cases by name, and one further fault without a case, refused-file. Each returns an error if it could not
+// run.
 var cases = map[string]func(r *rig.Rig) error{
 	"upgrade-in-outage": upgradeInOutage,
-	"refused-file":      refusedFile,
 	"taken-back":        takenBack,
+	"planned-end":       plannedEnd,
 	"slow-reader":       slowReader,
 	"moved-discovery":   movedDiscovery,
+	"refused-file":      refusedFile,
 }
 
 func main() { os.Exit(run()) }
