--- a/review/second/cmd/second/main.go
+++ b/review/second/cmd/second/main.go
@@ -9,8 +9,8 @@
 	"ferryfront.example/ferryfront/review/second/rig"
 )
 
-// cases are the cases by name, and one further fault without a case, refused-file. Each returns an error if it could not
-// run.
+// cases are the cases by name, and two further faults without a case, refused-file and late-drain. Each returns an error
+// if it could not run.
 var cases = map[string]func(r *rig.Rig) error{
 	"upgrade-in-outage": upgradeInOutage,
 	"taken-back":        takenBack,
@@ -18,6 +18,7 @@
 	"slow-reader":       slowReader,
 	"moved-discovery":   movedDiscovery,
 	"refused-file":      refusedFile,
+	"late-drain":        lateDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/cmd/second/planned_end.go
+++ b/review/second/cmd/second/planned_end.go
@@ -47,9 +47,9 @@
 	in := w.Ingresses[0]
 	time.Sleep(2 * time.Second)
 	var asking sync.WaitGroup
-	for n := range longAnswers { // begun over 4 s, of 5.5 to 6.5 s each: they end 1 to 6 s after SIGTERM
-		asking.Go(func() { askTwice(w, in.Addr, n, time.Duration(5500+5*n)*time.Millisecond) })
-		time.Sleep(20 * time.Millisecond)
+	for n := range longAnswers { // begun over 2 s, of 4.5 to 5 s each: they end 2 to 4.5 s after SIGTERM
+		asking.Go(func() { askTwice(w, in.Addr, n, time.Duration(4500+5*n/2)*time.Millisecond) })
+		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
 	if r.Trouble {
--- a/review/second/cmd/second/taken_back.go
+++ b/review/second/cmd/second/taken_back.go
@@ -75,7 +75,7 @@
 			return err
 		}
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(30 * time.Second)
 	load.Stop()
 	for _, text := range racks.TwiceSince(inForce) {
 		r.Break("%s", text)
