Planned end: close connections whose answer outlasts it, refuse what is read last

Callers saw: a client whose long answer had begun before SIGTERM kept its connection; its next request, read in the last 50 ms of the process, was run by an order server and got no answer.

Cause: two decisions were taken once. Conn.Relay takes the drain into the head of an answer, and finishResponse did not look at it again when the answer ended; closeIdle runs with the listeners' close only. And the forced end expired the streams open at that moment, while requests went on being read and sent on for 50 ms more.

Change: a connection that becomes idle, or is handed over, once the listeners are closed is closed as closeIdle does it; core.Close, in place of ExpireStreams, answers also what starts later, and nothing of it goes to a host or to the decision module.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -43,6 +43,8 @@
 	spareEvents      []admission.Event // the previous turn's slice, reused
 	actions          []admission.Action
 	abandonedStreams []*stream // abandoned since the last turn; see stream.isClientLeftPending
+	isClosed         bool      // no upstream request is made any more; see Close
+	lateStreams      []*stream // started since the last turn, after Close
 	idempotencyKeys  keyTable
 
 	isDebugEnabled       bool
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -257,11 +257,11 @@
 }
 
 // Streams that are open when the process must exit are answered once, and not with a refusal.
-func TestExpireStreams(t *testing.T) {
+func TestCloseEndsOpenStreams(t *testing.T) {
 	c, _, env, _ := newTestCore(sendToHost)
 	c.StartStream(0, env.request(100*ms))
 	c.Turn(0)
-	c.ExpireStreams(50 * ms)
+	c.Close(50 * ms)
 	c.Turn(50 * ms)
 	require.Equal(t, []End{{Kind: Expired, HasAttempts: true}}, env.ends)
 	require.Zero(t, c.OpenStreams())
@@ -269,6 +269,33 @@
 	require.Len(t, env.ends, 1)
 }
 
+// Guards against a request that is sent upstream and gets no answer: one that was read in the last 50 ms of a planned end.
+// It is refused unless its order may have run before, and the module does not learn of it.
+func TestStreamsThatStartAfterCloseAreAnsweredAtOnce(t *testing.T) {
+	c, module, env, _ := newTestCore(sendToHost)
+	c.idempotencyKeys.repeatWindows = []time.Duration{time.Second}
+	order := env.request(100 * ms)
+	order.IdempotencyKey = "k"
+	id := c.StartStream(0, order)
+	c.Turn(0)
+	c.UpstreamEnded(0, Ref{id, 0}, admission.Broken, Answer{})
+	c.Close(10 * ms)
+	c.Turn(10 * ms)
+	calls, known := len(env.calls), len(module.events)
+	env.ends = nil
+
+	require.NotZero(t, c.StartStream(20*ms, env.request(100*ms)))
+	require.NotZero(t, c.StartStream(20*ms, order))
+	left := c.StartStream(20*ms, env.request(100*ms))
+	c.ClientDisconnected(20*ms, left)
+	c.Turn(20 * ms)
+	require.Equal(t, []End{{Kind: Refused}, {Kind: Expired}}, env.ends)
+	require.Len(t, env.calls, calls)
+	require.Len(t, module.events, known)
+	require.Zero(t, c.OpenStreams())
+	require.Zero(t, c.TrackedStreams())
+}
+
 // An idempotency key is remembered to the end of its window and no longer. It is forgotten at once if no request with it
 // can have run.
 func TestIdempotencyKeysAreRememberedForTheirWindow(t *testing.T) {
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -77,6 +77,10 @@
 		c.setDeadlineTimers(s)
 	}
 	c.logRequestStarted(s, ev.ExpiresIn)
+	if c.isClosed {
+		c.lateStreams = append(c.lateStreams, s)
+		return s.id
+	}
 	c.events = append(c.events, ev)
 	return s.id
 }
@@ -104,7 +108,7 @@
 func (c *Core) RequestCompleted(now time.Duration, id uint64) {
 	c.AdvanceClock(now)
 	s := c.streams[id]
-	if s == nil || !s.isPartial || s.isClosed {
+	if s == nil || !s.isPartial || s.isClosed || c.isClosed {
 		return
 	}
 	s.isPartial, s.deadline = false, c.now+s.timeout
@@ -129,15 +133,22 @@
 // ClientDisconnected reports that a stream's client has left. The stream is then owed no answer.
 func (c *Core) ClientDisconnected(now time.Duration, id uint64) {
 	c.AdvanceClock(now)
-	if s := c.streams[id]; s != nil && !s.isClosed {
+	switch s := c.streams[id]; {
+	case s == nil || s.isClosed:
+	case c.isClosed: // the module does not know a stream that has started after Close
+		s.owner = nil
+		c.closeStream(s, End{Kind: ClientLeft})
+	default:
 		s.owner = nil
 		c.abandonStream(s, ClientLeft)
 	}
 }
 
-// ExpireStreams ends every open stream with Expired, when there is no time left to wait for answers.
-func (c *Core) ExpireStreams(now time.Duration) {
+// Close ends every open stream with Expired, when there is no time left to wait for answers. A stream that starts later
+// ends in the next turn, and no upstream request is made for it.
+func (c *Core) Close(now time.Duration) {
 	c.AdvanceClock(now)
+	c.isClosed = true
 	for _, s := range c.streams {
 		if !s.isClosed {
 			c.abandonStream(s, Expired)
@@ -145,6 +156,23 @@
 	}
 }
 
+// endLateStreams ends the streams that have started after Close, each with a refusal unless an earlier request with its
+// idempotency key may have run.
+func (c *Core) endLateStreams() {
+	for len(c.lateStreams) > 0 {
+		late := c.lateStreams[0]
+		c.lateStreams = c.lateStreams[1:]
+		if late.isClosed {
+			continue
+		}
+		kind := Refused
+		if c.idempotencyKeys.priorAttempt(late.idempotencyKey, c.now) != nil {
+			kind = Expired
+		}
+		c.closeStream(late, End{Kind: kind})
+	}
+}
+
 // abandonStream ends a stream without the module: its client has left or its time is up. In both cases the module gets
 // ClientLeft. Upstream requests that still wait for their connection are withdrawn, whatever the module does with those
 // that are written.
--- a/internal/core/turn.go
+++ b/internal/core/turn.go
@@ -35,6 +35,7 @@
 	if c.isHeld {
 		return 0
 	}
+	c.endLateStreams()
 	for {
 		due, ok := c.timers.Pop(c.now)
 		if !ok {
--- a/internal/daemon/replacement.go
+++ b/internal/daemon/replacement.go
@@ -115,13 +115,14 @@
 
 // scheduleForcedEnd schedules the end of what is still open DrainTimeout from now: streams expire, and connections
 // whose relayed response ends with the connection are reset, so that it doesn't look complete. The process ends
-// DrainFlushPeriod later, when the answers have had time to be sent.
+// DrainFlushPeriod later, when the answers have had time to be sent. A request that is read until then is answered at
+// once, since an upstream host's answer would come too late.
 func (d *Daemon) scheduleForcedEnd() {
 	d.loop.After(d.cfg.Limits.DrainTimeout, func() {
 		if open := d.core.OpenStreams(); open > 0 {
 			d.log.Warn("drain cut short", "streams", open)
-			d.core.ExpireStreams(d.loop.Now())
 		}
+		d.core.Close(d.loop.Now())
 		d.server.AbortCloseDelimitedRelays()
 		d.loop.After(d.cfg.Limits.DrainFlushPeriod, d.loop.Stop)
 	})
--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -149,29 +149,36 @@
 	err    error
 }
 
-// receive runs the loop until the client has the response to a request, and returns it. Interim responses are skipped.
-func (w *exchangeWorld) receive(method string) clientResult {
-	results := make(chan clientResult, 1)
+// runWhile runs the loop until what the client does, on a goroutine of its own, is done.
+func (w *exchangeWorld) runWhile(client func()) {
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
+		client()
+	}()
+	nettest.Until(w.t, w.loop, func() bool {
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+// receive runs the loop until the client has the response to a request, and returns it. Interim responses are skipped.
+func (w *exchangeWorld) receive(method string) (result clientResult) {
+	w.runWhile(func() {
 		resp, err := http.ReadResponse(w.reader, &http.Request{Method: method})
 		for err == nil && resp.StatusCode == http.StatusContinue {
 			resp, err = http.ReadResponse(w.reader, &http.Request{Method: method})
 		}
 		if err != nil {
-			results <- clientResult{err: err}
+			result = clientResult{err: err}
 			return
 		}
 		body, err := io.ReadAll(resp.Body)
-		results <- clientResult{resp.StatusCode, string(body), err}
-	}()
-	var result clientResult
-	nettest.Until(w.t, w.loop, func() bool {
-		select {
-		case result = <-results:
-			return true
-		default:
-			return false
-		}
+		result = clientResult{resp.StatusCode, string(body), err}
 	})
 	return result
 }
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -140,5 +140,8 @@
 	}
 	s.predecessorConns = max(0, s.predecessorConns-1)
 	c.parseRequests()
+	if s.listenersClosed {
+		c.closeIfIdle(closedDraining)
+	}
 	return nil
 }
--- a/internal/net/downstream/response.go
+++ b/internal/net/downstream/response.go
@@ -47,6 +47,8 @@
 		c.handOver()
 	case c.server.suspended:
 		c.updateEvents()
+	case c.server.listenersClosed: // the response may have begun before the drain, without announcing the end
+		c.closeIfIdle(closedDraining)
 	case c.parser.Buffered() > 0:
 		c.parseRequests()
 	}
