Count the linger and idle times of a client connection from its last written byte

Callers saw: the end of a long answer was cut off for a client that rested for 3 s while it read, on a connection that ended with the answer.

In the same way a connection counted as idle, and could be evicted, while its answer was unsent.

Change: Conn.blockedSince tells since when output waits without progress, and only that (20 s) ends a connection with unsent output. Lingering, idleness and eviction begin when the last byte is written, also in the process that a connection is handed to.

The tests of cmd/ferryfront and internal passed.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -39,7 +39,8 @@
 	// MinBodyRate is the rate of a request body, in bytes per second, below which the request is aborted. See
 	// RequestTimeout.
 	MinBodyRate int
-	// RelayStallTimeout aborts a relayed body when its peer sends or accepts nothing for this long.
+	// RelayStallTimeout aborts a relayed body when its peer sends or accepts nothing for this long, and any other response
+	// when its client accepts nothing.
 	RelayStallTimeout time.Duration
 	// RelayStartDelay is how long a response of unknown length is buffered, as it may be short, before it is relayed.
 	RelayStartDelay time.Duration
--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -105,10 +105,9 @@
 
 // responseRelay is a response body that is forwarded while it is being received from the upstream host.
 type responseRelay struct {
-	pipe       *flow.Pipe
-	framing    http1.Framing
-	done       func(complete bool)
-	progressAt time.Duration // last time that the client took bytes, or that none were available
+	pipe    *flow.Pipe
+	framing http1.Framing
+	done    func(complete bool)
 }
 
 // Relay answers the current request with a body that is still being received. If the body ends early, the connection is
@@ -125,7 +124,7 @@
 	h = c.withTraceParent(h)
 	c.wasServed = true
 	c.closeAfterResponse = c.closeAfterResponse || c.server.draining || c.upload != nil
-	r := &responseRelay{pipe: body, done: done, progressAt: c.server.loop.Now()}
+	r := &responseRelay{pipe: body, done: done}
 	switch {
 	case body.ContentLength >= 0:
 	case c.isHTTP10:
@@ -150,9 +149,6 @@
 	if r == nil || c.source.FD() < 0 {
 		return
 	}
-	if len(c.unsent) == 0 {
-		r.progressAt = c.server.loop.Now()
-	}
 	if b := r.pipe.Bytes(); len(b) > 0 && len(c.unsent) == 0 {
 		n := len(b)
 		if r.framing == http1.FramedByChunks {
@@ -167,6 +163,7 @@
 			}
 		}
 		r.pipe.Consume(n)
+		c.recordWrite(n)
 		c.updateEvents()
 	}
 	switch {
--- a/internal/net/downstream/close.go
+++ b/internal/net/downstream/close.go
@@ -18,15 +18,16 @@
 	}
 	c.removeFromList()
 	c.traceClosing(reason)
-	c.lingering, c.phaseSince = true, c.server.loop.Now()
+	c.lingering = true
 	if len(c.unsent) == 0 {
 		c.shutdownWrite()
 	}
 	c.updateEvents()
 }
 
-// shutdownWrite closes the sending side. The connection may be evicted from then on.
+// shutdownWrite closes the sending side, and starts the time of lingering. The connection may be evicted from then on.
 func (c *Conn) shutdownWrite() {
+	c.phaseSince = c.server.loop.Now()
 	if err := loop.CloseWrite(c.source.FD()); err != nil {
 		c.close(closeReason(err.Error()))
 		return
@@ -35,20 +36,30 @@
 }
 
 // discardInput reads and discards input of a lingering connection. It does one read per turn and closes the connection
-// after a maximum of bytes, so that a client that never stops sending can't block the loop.
+// after a maximum of bytes, so that a client that never stops sending can't block the loop. While a response is not
+// written completely, such a client is not read, nor is one that has closed its sending side.
 func (c *Conn) discardInput() {
 	n, err := loop.Read(c.source.FD(), c.server.loop.ReadBuffer())
 	c.discardedBytes += n
+	isEnd := errors.Is(err, io.EOF) || c.exceedsLingerBytes()
 	switch {
 	case errors.Is(err, loop.ErrAgain):
-	case errors.Is(err, io.EOF) && len(c.unsent) > 0:
-		c.source.SetEvents(loop.Out) // the client has closed its sending side and still reads the response
-	case err != nil, c.discardedBytes > c.server.bounds.MaxLingerBytes && !c.hasUnreadBody,
-		c.discardedBytes > c.server.bounds.MaxBodyBytes+c.server.bounds.MaxLingerBytes:
+	case isEnd && len(c.unsent) > 0:
+		c.source.SetEvents(loop.Out)
+	case isEnd, err != nil:
 		c.close(closedAfterLinger)
 	}
 }
 
+// exceedsLingerBytes reports whether more input has been discarded than a client may have on its way when it is answered.
+func (c *Conn) exceedsLingerBytes() bool {
+	limit := c.server.bounds.MaxLingerBytes
+	if c.hasUnreadBody {
+		limit += c.server.bounds.MaxBodyBytes
+	}
+	return c.discardedBytes > limit
+}
+
 // Closing the listeners is retried while a waiting connection can't be accepted, at the connection limit or because the
 // machine lacks a resource. Closing at once would reset the waiting connections together with the requests that they
 // have sent.
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -77,21 +77,23 @@
 	now := s.loop.Now()
 	for c := range s.conns {
 		switch {
-		case c.lingering && now-c.phaseSince > c.lingerTimeout():
-			c.close(closedLingerTimeout)
-		case c.relay != nil:
-			if now-c.relay.progressAt > s.bounds.RelayStallTimeout {
-				c.disconnect(closedNoProgress)
+		case c.blockedSince != 0 && now-c.blockedSince > s.bounds.RelayStallTimeout:
+			c.disconnect(closedNoProgress)
+		case c.lingering:
+			if len(c.unsent) == 0 && now-c.phaseSince > c.lingerTimeout() {
+				c.close(closedLingerTimeout)
 			}
+		case c.relay != nil:
 		case c.upload != nil && c.isUploadTooSlow(now):
 			c.abortUpload()
 			c.rejectRequest(408, "request not whole in time")
 		case s.suspended: // nothing is read, so missing input is not the client's fault
-		case c.awaitingResponse || c.lingering:
+		case c.awaitingResponse:
 		case c.parser.HasMessageStarted():
 			if now-c.phaseSince > s.bounds.RequestTimeout(c.parser.BodyBytesRead()) {
 				c.rejectRequest(408, "request not whole in time")
 			}
+		case len(c.unsent) > 0: // the connection becomes idle once the response is written
 		case !c.wasServed && now-c.openedAt > s.bounds.FirstRequestTimeout, now-c.phaseSince > s.bounds.DownstreamIdleTimeout:
 			c.closeIfIdle(closedIdle)
 		}
@@ -120,7 +122,12 @@
 	parser   *http1.RequestParser
 	unsent   []byte // response bytes that the socket has not taken yet
 
-	// phaseSince is when the current phase began: idle, receiving a request (its first byte), or lingering.
+	// blockedSince is when the client last took bytes of what waits to be written, or when the socket was first full; 0:
+	// nothing waits.
+	blockedSince time.Duration
+
+	// phaseSince is when the current phase began: idle and the last response written, receiving a request (its first byte),
+	// or lingering and all output written.
 	phaseSince time.Duration
 	openedAt   time.Duration
 	lastReadAt time.Duration // last time that bytes were received, or that the connection became idle
@@ -165,7 +172,7 @@
 // that was parsed before HandleRequest. The timeout that the client sends with the request runs from then.
 func (c *Conn) RequestAge() time.Duration { return max(0, c.Now()-c.arrivedAt) }
 
-// setIdle starts the idle phase after a response.
+// setIdle starts the idle phase after a response, or the time of the request that has begun behind it.
 func (c *Conn) setIdle() {
 	c.phaseSince = c.server.loop.Now()
 	c.lastReadAt = c.phaseSince
@@ -173,9 +180,11 @@
 	c.addToEvictionList()
 }
 
-// addToEvictionList makes a connection without an unanswered request eligible for eviction.
+// addToEvictionList makes a connection without an unanswered request eligible for eviction, once its last response is
+// written.
 func (c *Conn) addToEvictionList() {
 	switch {
+	case len(c.unsent) > 0:
 	case c.parser.HasMessageStarted():
 		c.server.receiving.push(c)
 	case c.wasServed:
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -118,27 +118,29 @@
 }
 
 // AdoptConnection continues a connection of the predecessor process. If its listener no longer exists, the connection
-// is closed without an error, as a server may do between requests. It closes the descriptor and fails if the parser
-// state is invalid or the socket can't be polled.
+// is closed without an error behind the rest of its last response, as a server may do between requests. It closes the
+// descriptor and fails if the parser state is invalid or the socket can't be polled.
 func (s *Server) AdoptConnection(st ConnState, fd int) error {
-	i := slices.IndexFunc(s.listeners, func(ln *clientListener) bool { return ln.address == st.ListenerAddress })
-	if i < 0 {
-		loop.CloseFD(fd)
-		return nil
-	}
 	parser, err := http1.RestoreRequestParser(st.Parser, s.bounds.MaxHeaderBytes, s.bounds.MaxBodyBytes,
 		s.bounds.MaxBufferedBodyBytes)
 	if err != nil {
 		loop.CloseFD(fd)
 		return err
 	}
-	c := &Conn{server: s, listener: s.listeners[i], parser: parser, unsent: st.Unsent, phaseSince: st.PhaseSince,
+	c := &Conn{server: s, parser: parser, unsent: st.Unsent, phaseSince: st.PhaseSince,
 		openedAt: st.OpenedAt, lastReadAt: s.loop.Now(), wasServed: st.WasServed,
 		arrivals: restoreArrivals(st.Arrivals, len(st.Parser.Buffered))}
+	c.recordWrite(0)
 	if err := s.register(c, fd); err != nil {
 		return err
 	}
 	s.predecessorConns = max(0, s.predecessorConns-1)
+	i := slices.IndexFunc(s.listeners, func(ln *clientListener) bool { return ln.address == st.ListenerAddress })
+	if i < 0 {
+		c.closeGracefully(closedListenerGone)
+		return nil
+	}
+	c.listener = s.listeners[i]
 	c.parseRequests()
 	if s.listenersClosed {
 		c.closeIfIdle(closedDraining)
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -100,7 +100,7 @@
 		c.listener.handler.HandleRequest(c, req)
 	}
 	if !c.awaitingResponse && !c.lingering && c.source.FD() >= 0 && c.parser.HasMessageStarted() {
-		c.server.receiving.push(c)
+		c.addToEvictionList()
 	}
 	c.updateEvents()
 }
@@ -135,7 +135,7 @@
 	case c.awaitingResponse && !c.isPipelineFull(), c.parser.Buffered() <= c.maxBufferedBytes():
 		events |= loop.In
 	}
-	if len(c.unsent) > 0 || c.relay != nil && len(c.relay.pipe.Bytes()) > 0 {
+	if c.hasUnwritten() {
 		events |= loop.Out
 	}
 	c.source.SetEvents(events)
--- a/internal/net/downstream/response.go
+++ b/internal/net/downstream/response.go
@@ -67,31 +67,61 @@
 	}
 	if n < len(b) {
 		c.unsent = append(c.unsent, b[n:]...)
+		c.recordWrite(n)
 		c.updateEvents()
 	}
 	return true
 }
 
-// flush sends buffered output, and continues a relay or a graceful close once all of it is sent. It reports whether the
-// connection is still open.
+// flush sends buffered output, and continues a relay, a graceful close or the idle phase once all of it is sent. It
+// reports whether the connection is still open.
 func (c *Conn) flush() bool {
 	n, err := loop.Write(c.source.FD(), c.unsent)
 	if err != nil {
 		c.disconnect(closeReason(err.Error()))
 		return false
 	}
-	if c.unsent = c.unsent[n:]; len(c.unsent) == 0 {
+	c.unsent = c.unsent[n:]
+	c.recordWrite(n)
+	if len(c.unsent) == 0 {
 		c.unsent = nil
-		if c.lingering {
+		switch {
+		case c.lingering:
 			c.shutdownWrite()
+		case c.relay != nil:
+			c.pumpRelay()
+		case n > 0 && !c.awaitingResponse:
+			c.startIdleTime()
 		}
-		c.pumpRelay()
 		if c.source.FD() < 0 {
 			return false
 		}
-	} else if n > 0 && c.relay != nil {
-		c.relay.progressAt = c.server.loop.Now()
 	}
 	c.updateEvents()
 	return true
 }
+
+// startIdleTime starts the idle phase of a connection whose last response has just been written. The time of a request that
+// has begun meanwhile runs on.
+func (c *Conn) startIdleTime() {
+	if !c.parser.HasMessageStarted() {
+		c.phaseSince = c.server.loop.Now()
+		c.lastReadAt = c.phaseSince
+	}
+	c.addToEvictionList()
+}
+
+// hasUnwritten reports whether output waits until the socket takes it.
+func (c *Conn) hasUnwritten() bool {
+	return len(c.unsent) > 0 || c.relay != nil && len(c.relay.pipe.Bytes()) > 0
+}
+
+// recordWrite updates blockedSince after the socket has taken n bytes of output.
+func (c *Conn) recordWrite(n int) {
+	switch {
+	case !c.hasUnwritten():
+		c.blockedSince = 0
+	case n > 0 || c.blockedSince == 0:
+		c.blockedSince = c.server.loop.Now()
+	}
+}
--- a/internal/net/downstream/trace.go
+++ b/internal/net/downstream/trace.go
@@ -16,6 +16,7 @@
 	closedDraining      closeReason = "draining"
 	closedUploadBlocked closeReason = "client closed its side while its request body was held back"
 	closedRelayAborted  closeReason = "relayed response ended early"
+	closedListenerGone  closeReason = "its listener is not configured any more"
 	closedEvicted       closeReason = "evicted for a new connection"
 )
 
