Hand-over: wait until the last messages are sent, not 50 ms from when they are queued

Callers would see: client connections lost with the old process of an upgrade whose successor stands still for over 50 ms while connections are queued to it; a replacement that serves beside its predecessor, since it never read that the hand-over had failed.

Cause: sendFarewell ended the loop, and a failed hand-over closed the connection, DrainFlushPeriod after the message was queued, whether or not the socket had taken it.

Change: both wait until the queue is sent or the successor is gone. SIGTERM still ends the process within its drain timeout.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -360,6 +360,10 @@
 		d.asSuccessor.handle(phase.TerminateRequested{})
 		return
 	}
+	if d.asPredecessor.machine.State == phase.Finished { // it waits until the successor has read its last messages
+		d.scheduleForcedEnd()
+		return
+	}
 	d.asPredecessor.handle(phase.TerminateRequested{})
 }
 
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -140,11 +140,11 @@
 		if p.successor != nil && p.successor.cmd != nil {
 			_ = p.successor.cmd.Process.Kill() // it may have ended already
 		}
-		// A replacement restarts without a predecessor once it has read the abort or sees the connection end.
+		// A replacement restarts without a predecessor once it has read the abort. It takes the end of the connection
+		// without an abort for the death of this process, and would serve beside it.
 		if successor := p.successor; successor != nil && p.machine.HasExternalSuccessor {
 			p.successor = nil
 			successor.conn.WhenFlushed(successor.conn.Close)
-			d.loop.After(bounds.DrainFlushPeriod, successor.conn.Close)
 		}
 	case phase.ReclaimListeners:
 		p.reclaim()
@@ -325,8 +325,8 @@
 	d.log.Error("listeners taken back", "cause", p.machine.Failure)
 }
 
-// sendFarewell tells the successor that nothing is open here any more, and ends the loop once the message is sent, or
-// after DrainFlushPeriod.
+// sendFarewell tells the successor that nothing is open here any more, and ends the loop once the message is sent: client
+// connections may be queued before it. If the successor ends first, successorProcess ends the loop.
 func (p *predecessorRole) sendFarewell() {
 	p.send(&pb.Envelope{Body: &pb.Envelope_Farewell{Farewell: &pb.Farewell{}}})
 	p.daemon.log.Info("handed over")
@@ -335,7 +335,6 @@
 		return
 	}
 	p.successor.conn.WhenFlushed(p.daemon.loop.Stop)
-	p.daemon.loop.After(p.daemon.cfg.Limits.DrainFlushPeriod, p.daemon.loop.Stop)
 }
 
 // AttemptStarted tells the successor that an upstream request of a handed-over stream was sent to a host. With
--- a/internal/daemon/successorprocess.go
+++ b/internal/daemon/successorprocess.go
@@ -76,12 +76,21 @@
 	}
 	s.isLost = true
 	if s.role.successor == s {
+		s.stopIfFinished()
 		s.role.handle(phase.PeerExited{Detail: exitStatus})
 		s.role.successor = nil
 	}
 	s.conn.Close()
 }
 
+// stopIfFinished ends this process if it only waits until the successor has read its last messages, which the successor
+// can't do any more.
+func (s *successorProcess) stopIfFinished() {
+	if s.role.machine.State == phase.Finished {
+		s.role.daemon.loop.Stop()
+	}
+}
+
 // ConnectionLost handles the end of the connection: the successor has closed its end, or what it sends can't be parsed. A closed
 // connection is no proof that the successor is dead: both processes would serve if this one took its place back. So the
 // successor is killed, and only its exit counts. After Farewell the successor serves alone and closes its end, which may
@@ -89,7 +98,14 @@
 // ended, since it can't be killed: it has ended or restarts without a predecessor.
 func (s *successorProcess) ConnectionLost(err error) {
 	s.isLost = true
-	if s.role.successor != s || s.role.machine.State == phase.Finished {
+	switch {
+	case s.role.successor != s: // a failed handover to a replacement, or to a process whose exit closes the connection
+		if s.cmd == nil {
+			s.conn.Close()
+		}
+		return
+	case s.role.machine.State == phase.Finished:
+		s.stopIfFinished()
 		return
 	}
 	if !errors.Is(err, io.EOF) {
--- a/internal/daemon/successorprocess_test.go
+++ b/internal/daemon/successorprocess_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"ferryfront.example/ferryfront/internal/config"
 	"ferryfront.example/ferryfront/internal/handover"
+	"ferryfront.example/ferryfront/internal/handover/pb"
 	"ferryfront.example/ferryfront/internal/handover/phase"
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/loop"
@@ -51,3 +53,103 @@
 	require.NoError(t, input.Close())
 	require.NoError(t, successor.Wait(), "the successor was killed")
 }
+
+// messageRecorder is the other end of a handover connection. It stops its loop with the end of the connection.
+type messageRecorder struct {
+	loop     *loop.Loop
+	messages []*pb.Envelope
+}
+
+func (r *messageRecorder) HandleMessage(e *pb.Envelope, fds []int) {
+	r.messages = append(r.messages, e)
+	for _, fd := range fds {
+		loop.CloseFD(fd)
+	}
+}
+
+func (r *messageRecorder) ConnectionLost(error) { r.loop.Stop() }
+
+// readLate has a successor that stands still for a time, and then reads until the connection ends. It returns what it read.
+func readLate(t *testing.T, fd int, standsStill time.Duration) <-chan []*pb.Envelope {
+	events, err := loop.New()
+	require.NoError(t, err)
+	recorder := &messageRecorder{loop: events}
+	_, err = handover.New(events, limits.Limits{MaxHandoverMessageBytes: 1 << 20}, fd, recorder)
+	require.NoError(t, err)
+	read := make(chan []*pb.Envelope, 1)
+	go func() {
+		time.Sleep(standsStill)
+		_ = events.Run(idleTurner{})
+		read <- recorder.messages
+	}()
+	return read
+}
+
+// predecessorWithFullSocket returns a process whose successor has more to read than the socket holds.
+func predecessorWithFullSocket(t *testing.T, events *loop.Loop, bounds limits.Limits) (p *predecessorRole, successorFD int) {
+	p = &predecessorRole{daemon: &Daemon{loop: events, log: slog.New(slog.DiscardHandler), cfg: config.Config{Limits: bounds}}}
+	ownFD, successorFD, err := handover.Pair()
+	require.NoError(t, err)
+	p.successor = &successorProcess{role: p}
+	p.successor.conn, err = handover.New(events, bounds, ownFD, p.successor)
+	require.NoError(t, err)
+	for p.successor.conn.QueuedBytes() < bounds.MaxHandoverMessageBytes {
+		p.send(&pb.Envelope{Body: &pb.Envelope_Welcome{Welcome: &pb.Welcome{Version: strings.Repeat("x", 1000)}}})
+	}
+	return p, successorFD
+}
+
+// Guards against a time that runs while messages are queued and not sent: the old process of an upgrade ended 50 ms after its
+// last message, and client connections that a successor had not read by then were lost with it.
+func TestPredecessorEndsOnceItsLastMessagesAreSent(t *testing.T) {
+	events, err := loop.New()
+	require.NoError(t, err)
+	bounds := limits.Limits{MaxHandoverMessageBytes: 1 << 20, DrainFlushPeriod: 10 * time.Millisecond}
+	p, successorFD := predecessorWithFullSocket(t, events, bounds)
+	p.machine.State = phase.Draining
+	p.handle(phase.Drained{})
+	read := readLate(t, successorFD, 20*bounds.DrainFlushPeriod)
+	require.NoError(t, events.Run(idleTurner{}))
+	require.Zero(t, p.successor.conn.QueuedBytes())
+	events.Close() // as the end of the process does
+	messages := <-read
+	require.NotNil(t, messages[len(messages)-1].GetFarewell())
+}
+
+// Guards against the same time in a handover that fails: a replacement that sees the connection end without an abort takes
+// the old process for dead, and serves beside it.
+func TestReplacementReadsTheAbortHoweverLate(t *testing.T) {
+	events, err := loop.New()
+	require.NoError(t, err)
+	bounds := limits.Limits{MaxHandoverMessageBytes: 1 << 20, DrainFlushPeriod: 10 * time.Millisecond}
+	p, successorFD := predecessorWithFullSocket(t, events, bounds)
+	p.machine.State, p.machine.HasExternalSuccessor = phase.Copying, true
+	conn := p.successor.conn
+	p.handle(phase.PhaseTimedOut{})
+	require.Equal(t, phase.Idle, p.machine.State)
+	read := readLate(t, successorFD, 20*bounds.DrainFlushPeriod)
+	var stopWhenSent func()
+	stopWhenSent = func() {
+		if conn.QueuedBytes() == 0 {
+			events.Stop()
+			return
+		}
+		events.After(time.Millisecond, stopWhenSent)
+	}
+	stopWhenSent()
+	require.NoError(t, events.Run(idleTurner{}))
+	events.Close()
+	messages := <-read
+	require.NotNil(t, messages[len(messages)-1].GetAbort())
+}
+
+// A process that has nothing left does not wait for a successor that has ended.
+func TestPredecessorEndsWithItsSuccessor(t *testing.T) {
+	events, err := loop.New()
+	require.NoError(t, err)
+	p, successorFD := predecessorWithFullSocket(t, events, limits.Limits{MaxHandoverMessageBytes: 1 << 20})
+	p.machine.State = phase.Draining
+	p.handle(phase.Drained{})
+	require.NoError(t, unix.Close(successorFD))
+	require.NoError(t, events.Run(idleTurner{}))
+}
