Upgrade: finish answers in the old process when its successor was told to end

Callers would see: an answer cut off, when the whole ingress was told to end during an upgrade, the new process had ended, and the old one finished the answer. Its connection was to follow the new process, so it was closed with what was not written yet. New clients connected to listeners of the old process that nobody accepted from.

Cause: where a connection goes when its answer ends was decided with the commit, and not looked at again when the successor ended.

Evidence: TestConnectionWhoseSuccessorHasEndedIsClosedBehindItsResponse uses what is new, so it can't run on the code before; there predecessorRole.send closed the descriptor, with ConnState.Unsent dropped. Read, and not shown with processes.

Change: when a successor that was told to end has ended, the old process closes its listeners, and each connection behind its answer.

Measured: that test and TestPredecessorClosesListenersWhenItsLeavingSuccessorEnds pass.

--- a/internal/daemon/successorprocess.go
+++ b/internal/daemon/successorprocess.go
@@ -79,6 +79,9 @@
 		s.stopIfFinished()
 		s.role.handle(phase.PeerExited{Detail: exitStatus})
 		s.role.successor = nil
+		if s.role.machine.IsCommitted() { // it was told to end, and this process does not take its listeners back
+			s.role.daemon.server.EndHandOver()
+		}
 	}
 	s.conn.Close()
 }
--- a/internal/daemon/successorprocess_test.go
+++ b/internal/daemon/successorprocess_test.go
@@ -15,7 +15,9 @@
 	"ferryfront.example/ferryfront/internal/handover/pb"
 	"ferryfront.example/ferryfront/internal/handover/phase"
 	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/downstream"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
 // idleTurner has nothing to do at the end of a turn.
@@ -153,3 +155,21 @@
 	require.NoError(t, unix.Close(successorFD))
 	require.NoError(t, events.Run(idleTurner{}))
 }
+
+// Guards against connections that wait for a process which has ended: a successor that was told to end is not replaced by its
+// predecessor, which closes the listeners and the connections that it still has.
+func TestPredecessorClosesListenersWhenItsLeavingSuccessorEnds(t *testing.T) {
+	events, err := loop.New()
+	require.NoError(t, err)
+	bounds := limits.Limits{MaxHandoverMessageBytes: 1 << 20}
+	p, _ := predecessorWithFullSocket(t, events, bounds)
+	p.daemon.server = downstream.New(events, bounds, p.daemon.log)
+	require.NoError(t, p.daemon.server.Listen(nettest.FreeAddress(t), nil))
+	p.daemon.server.Suspend()
+	p.machine.State = phase.Draining
+	p.handle(phase.MessageReceived{Message: phase.Leaving})
+	require.False(t, p.daemon.server.ListenersClosed())
+	p.successor.handleExit("exit status 0")
+	require.True(t, p.daemon.server.ListenersClosed())
+	require.Nil(t, p.successor)
+}
--- a/internal/net/downstream/close.go
+++ b/internal/net/downstream/close.go
@@ -88,6 +88,12 @@
 		s.loop.After(listenerCloseRetryInterval, func() { s.closeListeners(retries - 1) })
 		return
 	}
+	s.closeListenerSockets()
+	s.closeIdle()
+}
+
+// closeListenerSockets closes the listeners, whatever waits there.
+func (s *Server) closeListenerSockets() {
 	s.listenersClosed = true
 	for _, ln := range s.listeners {
 		// Another process of this ingress may hold the socket, too. If it were only closed here, it would stay in the
@@ -95,7 +101,6 @@
 		ln.source.Unwatch()
 		ln.source.Close()
 	}
-	s.closeIdle()
 }
 
 // closeIdle closes the connections that are idle and have no unread request.
--- a/internal/net/downstream/drain_test.go
+++ b/internal/net/downstream/drain_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ferryfront.example/ferryfront/internal/net/flow"
+	"ferryfront.example/ferryfront/internal/net/loop"
 	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
@@ -70,6 +71,26 @@
 	require.Len(t, w.handler.requests, 1)
 }
 
+// Guards against a response that is cut off because its connection was to follow a process that has ended: what was not
+// written when it ended was lost. The rest is written, and the connection closed behind it.
+func TestConnectionWhoseSuccessorHasEndedIsClosedBehindItsResponse(t *testing.T) {
+	for _, form := range longAnswers() {
+		t.Run(form.name, func(t *testing.T) {
+			w := slowReaderWorld(t)
+			body := w.answerSlowReader(form, func() {
+				w.old.Suspend()
+				w.old.HandOver(func(_ ConnState, fd int) { loop.CloseFD(fd) })
+				w.old.EndHandOver()
+			})
+			w.rest(func() {})
+			result := w.receive("GET")
+			require.NoError(t, result.err)
+			require.Equal(t, len(body), len(result.body))
+			require.Empty(t, w.receiveUntilEnd())
+		})
+	}
+}
+
 // Guards against a connection that stays open because it was handed over to a process which had closed its idle connections
 // already.
 func TestConnectionHandedToDrainingServerIsClosed(t *testing.T) {
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// EndHandOver ends a handover whose receiving process has ended, in a process that must not serve again. Each connection is
+// closed behind its present response, and the listeners at once: they would hold clients that nobody accepts.
+func (s *Server) EndHandOver() {
+	s.transfer = nil
+	for c := range s.conns {
+		c.closeAfterResponse = true
+	}
+	s.closeListenerSockets()
+}
+
 // BusyConnections returns the number of connections with an unanswered request.
 func (s *Server) BusyConnections() (n int) {
 	for c := range s.conns {
