Hand over the configuration in force and the versions acted on, and back

Callers saw: after discovery had moved by SIGHUP and the ingress was upgraded, requests went to a server that had long been told to drain.

Cause: a process builds itself from its environment and its file, and the hand-over carried nothing of what the one before had come to act on since. Nothing of it went back after the commit.

It takes the file as SIGHUP would, whole or not at all. The fields are new; older builds go on without them.

--- a/internal/controlgroup/member.go
+++ b/internal/controlgroup/member.go
@@ -11,7 +11,8 @@
 	"ferryfront.example/ferryfront/internal/versions"
 )
 
-// Document is a document with the version that a member begins with, from its file. A version of number 0: none.
+// Document is a document with a version that a member begins with, from its file or from the process before it. A version
+// of number 0: none. Of several versions of a document the oldest comes first.
 type Document struct {
 	Name    string
 	Version versions.Doc
@@ -104,7 +105,7 @@
 	for _, first := range config.First {
 		document := m.document(first.Name)
 		if first.Version.Number > 0 {
-			document.acting = []versions.Doc{first.Version}
+			document.acting = append(document.acting, first.Version)
 		}
 	}
 	return m
--- a/internal/daemon/agreement.go
+++ b/internal/daemon/agreement.go
@@ -124,7 +124,9 @@
 func (d *Daemon) applyVersions() {
 	a := d.agreement
 	a.logRejected(d)
+	haveChanged := false
 	if s := d.settingsSource(); s != nil && d.updateActiveVersions(s, "settings version") {
+		haveChanged = true
 		next, err := d.combineVersions(d.loadedConfig)
 		if err != nil { // unexpected: each version was checked before it became active
 			d.log.Error("settings version not acted on", "error", err)
@@ -133,8 +135,12 @@
 		}
 	}
 	if s := d.drainedSource(); s != nil && d.updateActiveVersions(s, "drained list version") {
+		haveChanged = true
 		d.watcher.SetDrained(a.drainedHosts())
 	}
+	if haveChanged {
+		d.reportConfiguration()
+	}
 }
 
 // logRejected logs all rejected versions if there are more than at the last check.
@@ -160,10 +166,7 @@
 	if !s.Changed() {
 		return false
 	}
-	var active []versions.Version
-	for _, doc := range s.Acting() {
-		active = append(active, doc.Version)
-	}
+	active := versionsOf(s.Acting())
 	previous, hasPrevious := d.agreement.loggedVersions[s.Document()]
 	if slices.Equal(active, previous) {
 		return false
@@ -175,7 +178,12 @@
 
 // drainedHosts returns the hosts that any active version drains: a drain holds from the first version that names it.
 func (a *agreement) drainedHosts() (all []string) {
-	for _, doc := range a.drained.Acting() {
+	return drainedBy(a.drained.Acting())
+}
+
+// drainedBy returns the hosts that any of the given versions drains.
+func drainedBy(docs []versions.Doc) (all []string) {
+	for _, doc := range docs {
 		hosts, _ := config.DecodeDrainedHosts(doc.Text) // it was checked before it became active
 		all = append(all, hosts...)
 	}
@@ -199,7 +207,16 @@
 		base.Settings, err = settings.KeepIndexes(d.cfg.Settings, base.Settings)
 		return base, err
 	}
-	for i, doc := range source.Acting() {
+	if combined, err = combineDocuments(base, source.Acting()); err != nil {
+		return combined, err
+	}
+	combined.Settings, err = settings.KeepIndexes(d.cfg.Settings, combined.Settings)
+	return combined, err
+}
+
+// combineDocuments returns a configuration under all given versions of the settings, the oldest first.
+func combineDocuments(base config.Config, docs []versions.Doc) (combined config.Config, err error) {
+	for i, doc := range docs {
 		version, err := base.WithSharedSettings(doc.Text)
 		if err != nil {
 			return combined, err
@@ -213,8 +230,7 @@
 	drainTimeout := combined.Limits.DrainTimeout
 	combined.Limits = base.Limits
 	combined.Limits.DrainTimeout = drainTimeout
-	combined.Settings, err = settings.KeepIndexes(d.cfg.Settings, combined.Settings)
-	return combined, err
+	return combined, nil
 }
 
 // canServe reports whether requests may be served: the cluster's hosts are known, and the agreement on versions is
@@ -228,6 +244,7 @@
 func (d *Daemon) markAgreementReady(isAlone bool) {
 	d.agreement.isReady = true
 	d.log.Info("settings version heard", "alone", isAlone)
+	d.reportConfiguration()
 }
 
 // checkNextVersion returns an error if the version in a file can't replace the one in force. Any can if none is in force.
--- a/internal/daemon/controlgroup.go
+++ b/internal/daemon/controlgroup.go
@@ -14,17 +14,17 @@
 // controlGroup is the daemon's part in the control group. The group decides which versions are in force, and its leases
 // decide whether this ingress may use its share of joint budgets. It belongs to the loop's goroutine.
 type controlGroup struct {
-	daemon           *Daemon
-	member           *controlgroup.Member
-	client           *controlclient.Client
-	moduleUsesShare  bool                             // true at first: a module that was told nothing uses the share
-	loggedLease      controlgroup.LeaseState          // state of the settings lease, as last logged
-	fileVersions     []controlgroup.Document          // versions that this process started with
-	newestInForce    map[string]versions.Version      // by document: newest version in force that the group has listed
-	hasProposedFiles bool                             // proposeFileVersions has run
-	pending          map[proposalKey]*pendingProposal // proposals without an outcome
-	// isResumed is set in a process that took part before and has taken its place back from a successor. Until it holds a
-	// lease it keeps to the versions that it applied then.
+	daemon          *Daemon
+	member          *controlgroup.Member
+	client          *controlclient.Client
+	moduleUsesShare bool                             // true at first: a module that was told nothing uses the share
+	loggedLease     controlgroup.LeaseState          // state of the settings lease, as last logged
+	ownVersions     []controlgroup.Document          // newest that this process knew at its start, from the file or another process
+	newestInForce   map[string]versions.Version      // by document: newest version in force that the group has listed
+	hasProposedOwn  bool                             // proposeOwnVersions has run
+	pending         map[proposalKey]*pendingProposal // proposals without an outcome
+	// isResumed is set in a process that continues the agreement of another process of a handover, or its own from before
+	// one. Until it holds a lease it keeps to the versions that were applied then.
 	isResumed bool
 }
 
@@ -36,12 +36,12 @@
 	}
 	now := d.loop.Now()
 	g := &controlGroup{daemon: d, moduleUsesShare: true, newestInForce: map[string]versions.Version{}, pending: map[proposalKey]*pendingProposal{}}
-	g.openAgreement()
+	first := g.openAgreement()
 	g.member = controlgroup.NewMember(controlgroup.MemberConfig{
 		ID: controlgroup.MemberID(d.cfg.Settings.Index),
 		// A later process of this ingress must have the higher incarnation.
 		Incarnation: controlgroup.Incarnation(max(1, time.Now().UnixMilli())),
-		First:       g.fileVersions, Check: d.checkDocument, ReadyWait: d.cfg.Limits.ControlReadyTimeout}, now)
+		First:       first, Check: d.checkDocument, ReadyWait: d.cfg.Limits.ControlReadyTimeout}, now)
 	d.controlGroup = g
 	g.setShare(false, d.core.Enqueue)
 	g.client = controlclient.Open(d.loop, d.cfg.Limits, d.log, controlclient.Config{Replicas: d.options.ControlReplicas,
@@ -51,34 +51,29 @@
 	g.handleChange(now)
 }
 
-// openAgreement starts the agreement on versions from those of the file, or from the newest that this process applied
-// before a successor took over. A document without a version in the file is applied, too, once the group has a version.
-func (g *controlGroup) openAgreement() {
+// openAgreement starts the agreement on versions from the saved ones, or from those of the file, and returns them. A
+// document without a version in the file is applied, too, once the group has a version.
+func (g *controlGroup) openAgreement() (first []controlgroup.Document) {
 	d := g.daemon
-	a := &agreement{loggedVersions: map[string][]versions.Version{}}
-	if d.savedAgreement != nil {
-		a.loggedVersions, a.isReady, g.isResumed = d.savedAgreement.loggedVersions, d.savedAgreement.isReady, true
-	}
-	settingsDoc, drainedDoc := fileDocuments(d.cfg)
-	for document, first := range map[string]versions.Doc{settingsDocument: settingsDoc, drainedDocument: drainedDoc} {
-		if d.savedAgreement != nil {
-			first = d.savedAgreement.newestVersions[document]
+	g.isResumed = d.savedAgreement != nil
+	settingsDoc, drainedDoc := fileDocuments(d.loadedConfig)
+	applied := map[string][]versions.Doc{}
+	for document, file := range map[string]versions.Doc{settingsDocument: settingsDoc, drainedDocument: drainedDoc} {
+		newest := file
+		applied[document] = d.firstVersions(document, file) // none: see updateActiveVersions
+		for _, version := range applied[document] {
+			first = append(first, controlgroup.Document{Name: document, Version: version})
+			if version.Number >= newest.Number {
+				newest = version
+			}
 		}
-		if first.Number > 0 {
-			g.fileVersions = append(g.fileVersions, controlgroup.Document{Name: document, Version: first})
-		} else {
-			a.loggedVersions[document] = []versions.Version{} // no version is applied yet: see updateActiveVersions
+		if newest.Number > 0 {
+			g.ownVersions = append(g.ownVersions, controlgroup.Document{Name: document, Version: newest})
 		}
 	}
-	a.settings, a.drained = controlSource{g, settingsDocument}, controlSource{g, drainedDocument}
-	d.agreement = a
-}
-
-// savedAgreement keeps a process's state of the agreement while a successor has its place, in case it takes that back.
-type savedAgreement struct {
-	newestVersions map[string]versions.Doc       // by document
-	loggedVersions map[string][]versions.Version // see agreement
-	isReady        bool                          // see agreement
+	d.agreement = d.newAgreement(applied)
+	d.agreement.settings, d.agreement.drained = controlSource{g, settingsDocument}, controlSource{g, drainedDocument}
+	return first
 }
 
 // observedMember is this ingress's member of the control group. It also records in newestInForce which versions the group
@@ -128,7 +123,7 @@
 		d.markAgreementReady(!held)
 	}
 	if held {
-		g.proposeFileVersions()
+		g.proposeOwnVersions()
 	}
 	g.finishProposals()
 }
@@ -190,16 +185,11 @@
 	g.client.GiveUp(done)
 }
 
-// suspendControlGroup releases share and leases for a successor, and saves the state of the agreement in case this
-// process takes its place back.
+// suspendControlGroup releases share and leases for a successor.
 func (d *Daemon) suspendControlGroup() {
 	if d.controlGroup == nil {
 		return
 	}
-	d.savedAgreement = &savedAgreement{newestVersions: map[string]versions.Doc{}, loggedVersions: d.agreement.loggedVersions, isReady: d.agreement.isReady}
-	for _, s := range d.agreement.sourcesWithVersion() {
-		d.savedAgreement.newestVersions[s.Document()] = s.Newest()
-	}
 	d.releaseShareAndLeases(nil)
 	d.agreement = nil
 }
@@ -243,22 +233,22 @@
 		BytesReceived: counts.ReceivedBytes}
 }
 
-// proposeFileVersions proposes the versions of this ingress's file, once, for each document of which the group has no
+// proposeOwnVersions proposes the versions that this process began with, once, for each document of which the group has no
 // version or an older one. So the first files of a fleet come into force, and a file that was changed while its ingress
 // was down counts like one reloaded by SIGHUP.
-func (g *controlGroup) proposeFileVersions() {
-	if g.hasProposedFiles {
+func (g *controlGroup) proposeOwnVersions() {
+	if g.hasProposedOwn {
 		return
 	}
-	g.hasProposedFiles = true
-	for _, file := range g.fileVersions {
-		if newest, ok := g.newestInForce[file.Name]; ok && newest.Number >= file.Version.Number {
+	g.hasProposedOwn = true
+	for _, own := range g.ownVersions {
+		if newest, ok := g.newestInForce[own.Name]; ok && newest.Number >= own.Version.Number {
 			continue
 		}
-		controlSource{g, file.Name}.propose(file.Version, func(err error) {
+		controlSource{g, own.Name}.propose(own.Version, func(err error) {
 			if err != nil {
-				g.daemon.log.Warn("file's version not taken by the control group", "of", file.Name,
-					"version", file.Version.String(), "error", err)
+				g.daemon.log.Warn("file's version not taken by the control group", "of", own.Name,
+					"version", own.Version.String(), "error", err)
 			}
 		})
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,7 +161,7 @@
 	members        *members        // nil: membership is off, or was closed for a successor
 	controlGroup   *controlGroup   // nil: there is none, or this process has released its leases
 	agreement      *agreement      // nil: this ingress agrees on no versions with others
-	savedAgreement *savedAgreement // state when the last successor took over; nil: none has, or there was no control group
+	savedAgreement *savedAgreement // what the next agreement of this process begins with; nil: the file
 	metrics        figures.Metrics
 
 	// successorListener accepts replacements that the platform starts. Nil: it is closed.
@@ -194,7 +194,11 @@
 // start starts the daemon without a predecessor. It fails if the configuration can't be used or an address can't be
 // opened.
 func (d *Daemon) start() error {
-	if err := d.assemble(); err != nil {
+	cfg, err := d.options.LoadConfig()
+	if err != nil {
+		return err
+	}
+	if err := d.assemble(cfg); err != nil {
 		return err
 	}
 	for _, f := range d.fronts {
@@ -236,12 +240,8 @@
 	}
 }
 
-// assemble reads the configuration and builds all parts. Nothing listens yet.
-func (d *Daemon) assemble() error {
-	cfg, err := d.options.LoadConfig()
-	if err != nil {
-		return err
-	}
+// assemble builds all parts for a configuration. Nothing listens yet.
+func (d *Daemon) assemble(cfg config.Config) (err error) {
 	if d.options.OverrideLimits != nil {
 		d.options.OverrideLimits(&cfg.Limits)
 	}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"ferryfront.example/ferryfront/internal/membership"
@@ -38,29 +39,47 @@
 	done(err)
 }
 
-// openGossip starts the agreement on versions with those of the configuration file. Without any there is no gossip.
+// openGossip starts the agreement on versions with the saved ones, or with those of the configuration file. Without any
+// there is no gossip.
 func (d *Daemon) openGossip(now time.Duration) {
-	settingsDoc, drainedDoc := fileDocuments(d.cfg)
-	if settingsDoc.Number == 0 && drainedDoc.Number == 0 {
+	settingsDoc, drainedDoc := fileDocuments(d.loadedConfig)
+	applied := map[string][]versions.Doc{}
+	for document, file := range map[string]versions.Doc{settingsDocument: settingsDoc, drainedDocument: drainedDoc} {
+		if first := d.firstVersions(document, file); len(first) > 0 {
+			applied[document] = first
+		}
+	}
+	if len(applied) == 0 {
 		return
 	}
 	d.members.gossip = &gossip{}
-	d.agreement = &agreement{loggedVersions: map[string][]versions.Version{}}
-	if settingsDoc.Number != 0 {
-		d.agreement.settings = d.newGossipSource(settingsDocument, settingsDoc, d.checkSettings, now)
+	d.agreement = d.newAgreement(applied)
+	if first := applied[settingsDocument]; len(first) > 0 {
+		d.agreement.settings = d.newGossipSource(settingsDocument, first, settingsDoc, d.checkSettings, now)
 	}
-	if drainedDoc.Number != 0 {
-		d.agreement.drained = d.newGossipSource(drainedDocument, drainedDoc, checkDrained, now)
+	if first := applied[drainedDocument]; len(first) > 0 {
+		d.agreement.drained = d.newGossipSource(drainedDocument, first, drainedDoc, checkDrained, now)
 	}
 }
 
-// newGossipSource creates the node of a document and its source.
-func (d *Daemon) newGossipSource(document string, first versions.Doc, check func([]byte) error, now time.Duration) gossipSource {
+// newGossipSource creates the node of a document and its source. first are the versions that are applied, the oldest first.
+// A newer one in the file is offered, as at a reload.
+func (d *Daemon) newGossipSource(document string, first []versions.Doc, file versions.Doc, check func([]byte) error,
+	now time.Duration) gossipSource {
 	cfg, bounds, self := d.cfg, d.cfg.Limits, d.members.self
 	node := versions.New(versions.Config{Self: self, Document: document, Seed: cfg.Seed + uint64(cfg.Settings.Index),
 		ReportInterval: bounds.MemberProbeInterval, RetryInterval: bounds.MemberAckTimeout, Check: check, MaxTextBytes: maxDocumentBytes,
 		Lease:         time.Duration(cfg.Settings.Gateways+1) * bounds.MemberProbeInterval,
-		MaxChunkBytes: membership.MaxDatagramBytes - versions.MaxChunkOverhead - len(document) - len(self)}, first, now)
+		MaxChunkBytes: membership.MaxDatagramBytes - versions.MaxChunkOverhead - len(document) - len(self)}, first[0], now)
+	later := first[1:]
+	if file.Number > first[len(first)-1].Number {
+		later = append(slices.Clone(later), file)
+	}
+	for _, doc := range later {
+		if _, err := node.Offer(doc, now); err != nil { // the node knows no other members yet, so there is nothing to send
+			d.log.Warn("version not taken", "of", document, "version", doc.Version.String(), "error", err)
+		}
+	}
 	d.members.gossip.nodes = append(d.members.gossip.nodes, node)
 	return gossipSource{node, d}
 }
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -46,6 +46,11 @@
 	isSnapshotDue     bool              // the snapshot is taken once this turn's events are handled
 	frozenAt          time.Duration     // when this process last stopped reading from clients
 	result            Progress          // of the present handover
+
+	// successorConfiguration is what the successor last told that it acts on; nil: nothing else than this process.
+	successorConfiguration *pb.Configuration
+	// hasUnansweredReload is set while the successor has not told what it acts on since a reload was passed on to it.
+	hasUnansweredReload bool
 }
 
 // upgrade begins an upgrade: it starts the binary that is now at the path of UpgradeCommand and hands over to it. If it
@@ -119,7 +124,7 @@
 		p.phaseTimer.Stop()
 	case phase.SendWelcome:
 		p.send(&pb.Envelope{Body: &pb.Envelope_Welcome{Welcome: &pb.Welcome{Protocol: phase.Protocol, Version: d.options.Version,
-			Name: d.cfg.Name, Listeners: d.server.ListenerAddresses()}}})
+			Name: d.cfg.Name, Listeners: d.server.ListenerAddresses(), Configuration: d.configurationInForce()}}})
 	case phase.CopyCustomers:
 		p.copyStartedAt, p.customersToCopy, p.activeAtCopyStart = d.loop.Now(), d.module.Customers(0), d.module.ActiveCustomers()
 		p.copyCustomers()
@@ -153,6 +158,8 @@
 	case phase.SendTerminate:
 		p.send(&pb.Envelope{Body: &pb.Envelope_Terminate{Terminate: &pb.Terminate{}}})
 	case phase.SendReload:
+		p.hasUnansweredReload = true
+		d.log.Info("reload passed on")
 		p.send(&pb.Envelope{Body: &pb.Envelope_Reload{Reload: &pb.Reload{}}})
 	case phase.Drain:
 		d.drain()
@@ -265,7 +272,8 @@
 	open := d.core.StartHandover(p)
 	hosts := d.watcher.Current()
 	snapshot := &pb.Snapshot{Gateway: handover.EncodeGateway(state), ClockOffset: int64(d.loop.ClockOffset()), LastStream: open.LastID,
-		ListVersion: hosts.Version, Hosts: handover.EncodeHosts(hosts), Listeners: d.server.ListenerAddresses()}
+		ListVersion: hosts.Version, Hosts: handover.EncodeHosts(hosts), Listeners: d.server.ListenerAddresses(),
+		Configuration: d.configurationInForce()}
 	snapshot.Streams, snapshot.Keys = handover.EncodeStreams(open)
 	p.send(&pb.Envelope{Body: &pb.Envelope_Snapshot{Snapshot: snapshot}}, listeners...)
 }
@@ -274,6 +282,8 @@
 func (p *predecessorRole) commit() {
 	d := p.daemon
 	d.stopListeningForSuccessor()
+	d.savedAgreement = d.saveAgreement()
+	p.successorConfiguration, p.hasUnansweredReload = nil, false
 	d.closeMembership() // the successor continues under this member's name
 	// A replacement has another admin endpoint, so this process keeps its own and still reports on itself there.
 	if !p.machine.HasExternalSuccessor {
@@ -304,7 +314,7 @@
 }
 
 // reclaim serves again after the successor has died: this process takes back its listeners, its connections to the
-// counter and its place among the ingresses.
+// counter and its place among the ingresses. It goes on under the configuration that the successor acted on.
 func (p *predecessorRole) reclaim() {
 	d := p.daemon
 	d.module.Reclaim(d.loop.Now())
@@ -313,6 +323,11 @@
 	if d.counter != nil {
 		d.counter.Resume()
 	}
+	if p.successorConfiguration != nil {
+		if err := d.adoptConfiguration(p.successorConfiguration); err != nil {
+			d.log.Error("configuration not reloaded", "error", err)
+		}
+	}
 	d.server.Resume()
 	setMemoryLimit(d.cfg.Limits, 1)
 	d.listenForSuccessor()
@@ -323,6 +338,9 @@
 	d.openControlGroup()
 	d.options.Notify("MAINPID=" + strconv.Itoa(os.Getpid()))
 	d.log.Error("listeners taken back", "cause", p.machine.Failure)
+	if p.hasUnansweredReload {
+		d.reloadConfig()
+	}
 }
 
 // sendFarewell tells the successor that nothing is open here any more, and ends the loop once the message is sent: client
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -48,6 +48,7 @@
 	} else {
 		d.applyReload(previous, next)
 	}
+	d.reportConfiguration()
 	if d.pendingReloads--; d.pendingReloads > 0 {
 		d.startReload()
 	}
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"ferryfront.example/ferryfront/internal/config"
 	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/handover"
 	"ferryfront.example/ferryfront/internal/handover/pb"
@@ -220,10 +221,15 @@
 // failure costs no request: the predecessor still serves and carries on.
 func (s *successorRole) prepare() {
 	d := s.daemon
-	if err := d.assemble(); err != nil {
+	cfg, err := s.loadConfig()
+	if err == nil {
+		err = d.assemble(d.startAgreement(cfg, s.welcome.GetConfiguration()))
+	}
+	if err != nil {
 		s.handle(phase.TakeoverFailed{Reason: err.Error()})
 		return
 	}
+	d.drainByVersions()
 	setMemoryLimit(d.cfg.Limits, 2)
 	if d.isReplacement { // it has an admin endpoint of its own, which reports that the process is not ready yet
 		if err := d.openAdmin(); err != nil {
@@ -256,6 +262,35 @@
 	s.awaitCluster()
 }
 
+// loadConfig returns the configuration of this process: that of the predecessor, with what has changed in the file since
+// the predecessor read it. Like a reload, it takes the file whole or not at all. A file that can't be used fails an
+// upgrade, so that the predecessor carries on; a replacement goes on without it. A predecessor of an earlier version of
+// the program does not tell its configuration.
+func (s *successorRole) loadConfig() (config.Config, error) {
+	d := s.daemon
+	if s.welcome.GetConfiguration() == nil {
+		return d.options.LoadConfig()
+	}
+	inForce := inForceOf(s.welcome.GetConfiguration())
+	previous, err := inForce.Config(d.options.Getenv)
+	if err != nil { // the text is of another version of the program
+		d.log.Warn("configuration of the old process not used", "error", err)
+		return d.options.LoadConfig()
+	}
+	if loaded, err := d.options.LoadConfig(); err == nil && inForce.IsTextOf(loaded) {
+		return inForce.KeepDiscovery(loaded, d.options.Getenv), nil
+	}
+	read, err := d.options.ReloadConfig(previous)
+	switch {
+	case err == nil:
+		return inForce.KeepDiscovery(read, d.options.Getenv), nil
+	case d.isReplacement:
+		d.log.Error("configuration not reloaded", "error", err)
+		return inForce.KeepDiscovery(previous, d.options.Getenv), nil
+	}
+	return config.Config{}, err
+}
+
 // clusterPollInterval is the time between two checks whether the cluster's hosts are known.
 const clusterPollInterval = 2 * time.Millisecond
 
@@ -289,6 +324,10 @@
 	open := handover.DecodeStreams(s.snapshot)
 	d.core.Restore(now, open, d.module.Adopt(now))
 	d.watcher.Adopt(handover.DecodeHosts(s.snapshot))
+	d.adoptAgreement(s.snapshot.GetConfiguration())
+	if told := s.snapshot.GetConfiguration(); told != nil && told.GetDiscovery() != d.cfg.Discovery {
+		d.watcher.Refetch() // versions of the lists of two addresses can't be compared
+	}
 	for i, fd := range s.snapshotFDs {
 		front := slices.IndexFunc(d.fronts, func(f listeningFront) bool { return f.addr == names[i] })
 		if front < 0 { // the configuration has no front at this address any more
@@ -320,6 +359,7 @@
 	}
 	d.rejoinMembership()
 	d.openControlGroup()
+	d.reportConfiguration()
 	d.listenForSuccessor()
 	d.log.Info("taken over", "version", d.options.Version, "from", s.welcome.GetVersion(), "listen", d.cfg.Listen,
 		"customers", s.customerCount, "streams", d.core.PredecessorStreams(), "clock", d.loop.ClockOffset())
--- a/internal/daemon/successorprocess.go
+++ b/internal/daemon/successorprocess.go
@@ -151,6 +151,8 @@
 		p.handle(phase.MessageReceived{Message: phase.Refused, Text: m.Refused.GetReason()})
 	case *pb.Envelope_Leaving:
 		p.handle(phase.MessageReceived{Message: phase.Leaving})
+	case *pb.Envelope_Configuration:
+		p.successorConfiguration, p.hasUnansweredReload = m.Configuration, false
 	case *pb.Envelope_KeySent:
 		p.daemon.core.SuccessorKeySent(handover.DecodeKey(m.KeySent))
 	case *pb.Envelope_KeyNotRun:
--- a/internal/lab/control_test.go
+++ b/internal/lab/control_test.go
@@ -266,6 +266,34 @@
 	s.kept(t)
 }
 
+// Guards against versions that are lost with a process: the new process of an upgrade acted on the retired version of its
+// file while no replica could be reached. It acts on what the old one acted on, settings and drained list, and is ready.
+func TestAnUpgradeWhileAllReplicasAreAway(t *testing.T) {
+	s := controlled(t)
+	s.rollout(t, 1, 2, 0, 1, 2) // the files of the others still say 1
+	s.drain(t, 1, 2, but("h7")...)
+	s.drained(t, 0, but("h7")...)
+	for i := range 3 {
+		s.group.Kill(i)
+	}
+	in, from := s.world.Ingresses[0], time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), upgradeTimeout)
+	defer cancel()
+	_, err := daemon.Upgrade(ctx, in.Control, func(daemon.Progress) {})
+	require.NoError(t, err)
+	require.Equal(t, []uint64{2}, s.acting(t, 0))
+	require.Empty(t, s.after(t, 0, from, "acting=1 "))
+	s.drained(t, 0, but("h7")...)
+	s.answers(t, 0, "upgraded")
+	for i := range 3 {
+		require.NoError(t, s.group.Start(i))
+	}
+	s.allSettled(t)
+	require.Equal(t, []uint64{2}, s.acting(t, 0))
+	s.rollout(t, 1, 3, 0, 1, 2)
+	s.kept(t)
+}
+
 // An ingress that ends, is killed, or is replaced by an upgrade leaves its place to the next process at once.
 func TestAPlaceIsTakenAtOnce(t *testing.T) {
 	s := controlled(t)
