--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -89,11 +89,11 @@
 			c.rejectRequest(408, "request not whole in time")
 		case s.suspended: // nothing is read, so missing input is not the client's fault
 		case c.awaitingResponse:
+		case len(c.unsent) > 0: // the next request is not parsed before the response is written
 		case c.parser.HasMessageStarted():
 			if now-c.phaseSince > s.bounds.RequestTimeout(c.parser.BodyBytesRead()) {
 				c.rejectRequest(408, "request not whole in time")
 			}
-		case len(c.unsent) > 0: // the connection becomes idle once the response is written
 		case !c.wasServed && now-c.openedAt > s.bounds.FirstRequestTimeout, now-c.phaseSince > s.bounds.DownstreamIdleTimeout:
 			c.closeIfIdle(closedIdle)
 		}
@@ -139,9 +139,10 @@
 	overflowBytes  int  // pipelined bytes discarded because they exceeded the buffer
 	hasUnreadBody  bool // a request was answered or given up before its body had been received
 
-	closeAfterResponse bool // the current response is the last one
-	lingering          bool // no more is sent after unsent; input is read and discarded
-	parsing            bool // parseRequests is on the call stack
+	closeAfterResponse bool        // the current response is the last one
+	lingering          bool        // no more is sent after unsent; input is read and discarded
+	parsing            bool        // parseRequests is on the call stack
+	parseTimer         *loop.Timer // calls continueParsing in the next turn; nil: not due
 
 	prev, next *Conn     // neighbors in list
 	list       *connList // the list that holds the connection; nil: none
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -65,16 +65,17 @@
 	return true, true
 }
 
-// parseRequests passes the next buffered request to the handler, and further ones as long as each is answered at once.
+// parseRequests passes the next buffered request to the handler, and further ones as long as each is answered at once and
+// the client takes the answers. It passes on at most MaxPipelinedPerTurn in a turn, however often it is called.
 func (c *Conn) parseRequests() {
-	if c.parsing {
+	if c.parsing || c.parseTimer != nil {
 		return
 	}
 	c.parsing = true
 	defer func() { c.parsing = false }()
-	for n := 0; !c.awaitingResponse && !c.lingering && !c.server.suspended && c.source.FD() >= 0; n++ {
+	for n := 0; c.canParse(); n++ {
 		if n == c.server.bounds.MaxPipelinedPerTurn { // other connections get their turn first
-			c.server.loop.After(time.Microsecond, c.parseRequests)
+			c.parseTimer = c.server.loop.After(time.Microsecond, c.continueParsing)
 			break
 		}
 		req, err := c.parser.Next()
@@ -105,6 +106,17 @@
 	c.updateEvents()
 }
 
+// canParse reports whether a buffered request may be passed to the handler now.
+func (c *Conn) canParse() bool {
+	return !c.awaitingResponse && !c.lingering && !c.server.suspended && c.source.FD() >= 0 && len(c.unsent) == 0
+}
+
+// continueParsing goes on with the requests that were left for a later turn.
+func (c *Conn) continueParsing() {
+	c.parseTimer = nil
+	c.parseRequests()
+}
+
 // rejectUnparsable answers input that is not a valid request, with the parser's status or 400.
 func (c *Conn) rejectUnparsable(err error) {
 	status := 400
--- a/internal/net/downstream/response.go
+++ b/internal/net/downstream/response.go
@@ -92,6 +92,7 @@
 			c.pumpRelay()
 		case n > 0 && !c.awaitingResponse:
 			c.startIdleTime()
+			c.parseRequests()
 		}
 		if c.source.FD() < 0 {
 			return false
@@ -101,11 +102,11 @@
 	return true
 }
 
-// startIdleTime starts the idle phase of a connection whose last response has just been written. The time of a request that
-// has begun meanwhile runs on.
+// startIdleTime starts the idle phase of a connection whose last response has just been written, or the time for the rest of
+// a request that has begun meanwhile.
 func (c *Conn) startIdleTime() {
+	c.phaseSince = c.server.loop.Now()
 	if !c.parser.HasMessageStarted() {
-		c.phaseSince = c.server.loop.Now()
 		c.lastReadAt = c.phaseSince
 	}
 	c.addToEvictionList()
