--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -244,6 +244,7 @@
 	if s.isReleased {
 		return
 	}
+	releasePayload(s.payload)
 	s.isReleased, s.payload = true, nil
 	delete(c.requestIDs, s.requestID)
 	if s.idempotencyKey != "" {
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -21,9 +21,16 @@
 
 // Payload is the request that a stream sends to its upstream host. The core does not read it. If sending it may consume a
 // part of it, as with a body that is relayed and not kept, it has a method Gone() bool that reports whether that has
-// happened. Such a payload can't be sent again.
+// happened. Such a payload can't be sent again. If it has a method Release, that is called when it is not sent any more.
 type Payload any
 
+// releasePayload calls the payload's method Release, if it has one.
+func releasePayload(p Payload) {
+	if releasable, ok := p.(interface{ Release() }); ok {
+		releasable.Release()
+	}
+}
+
 // isPayloadConsumed reports whether a part of p has been consumed, so that p can't be sent again.
 func isPayloadConsumed(p Payload) bool {
 	consumable, ok := p.(interface{ Gone() bool })
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,8 +10,6 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -29,6 +27,7 @@
 	"ferryfront.example/ferryfront/internal/net/discovery"
 	"ferryfront.example/ferryfront/internal/net/downstream"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 	"ferryfront.example/ferryfront/internal/net/mgmt"
 	"ferryfront.example/ferryfront/internal/net/upstream"
 	"ferryfront.example/ferryfront/internal/telemetry"
@@ -163,6 +162,7 @@
 	agreement      *agreement      // nil: this ingress agrees on no versions with others
 	savedAgreement *savedAgreement // what the next agreement of this process begins with; nil: the file
 	metrics        figures.Metrics
+	memory         *membudget.Budget // of all connections
 
 	// successorListener accepts replacements that the platform starts. Nil: it is closed.
 	successorListener *loop.Source
@@ -219,37 +219,14 @@
 	return nil
 }
 
-// limitRuntime keeps the Go runtime within the configured cores and memory, so that the garbage collector works harder
-// before the platform would kill the process. The live heap is small, so collecting at twice its size costs little
-// time, and the heap reaches its final size within seconds, so that growth which does not stop shows a leak.
-func limitRuntime(cfg config.Config) {
-	runtime.GOMAXPROCS(max(1, int(cfg.Cores)))
-	debug.SetGCPercent(100)
-	setMemoryLimit(cfg.Limits, 1)
-}
-
-// setMemoryLimit sets the runtime's soft memory limit to six tenths of MemoryMB. During a handover two processes share
-// MemoryMB, and the limit of each is four tenths, less than half. Without MemoryMB no limit is set.
-func setMemoryLimit(bounds limits.Limits, processes int) {
-	tenths := int64(6)
-	if processes > 1 {
-		tenths = 4
-	}
-	if mb := bounds.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * tenths / 10)
-	}
-}
-
 // assemble builds all parts for a configuration. Nothing listens yet.
 func (d *Daemon) assemble(cfg config.Config) (err error) {
 	if d.options.OverrideLimits != nil {
 		d.options.OverrideLimits(&cfg.Limits)
 	}
 	d.log = d.log.With("name", cfg.Name)
-	if d.options.Embedded == nil {
-		limitRuntime(cfg)
-	}
 	d.loadedConfig = cfg
+	d.limitMemory(cfg)
 	// Every rejection carries a Retry-After, whether or not the configuration says that clients honor it.
 	cfg.Settings.CanSendRetryAfter = true
 	d.cfg = cfg
@@ -290,6 +267,8 @@
 	d.watcher = discovery.New(l, cfg.Limits, d.log, cfg.Discovery, d.core, d.upstreams, cfg.KnownHosts, cfg.Seed)
 	d.watcher.SetDrained(cfg.DrainedHosts)
 	d.server = downstream.New(l, cfg.Limits, d.log)
+	d.server.SetMemory(d.memory)
+	d.upstreams.SetMemory(d.memory)
 	platformFront := platform.New(d.core, cfg.Settings, d.canServe)
 	d.fronts = append(d.fronts, listeningFront{cfg.Listen, platformFront, func() {}, platformFront.Follow})
 	if table != nil {
--- a/internal/daemon/predecessor.go
+++ b/internal/daemon/predecessor.go
@@ -178,7 +178,7 @@
 		d.log.Warn("upgrade failed; this process carries on", "cause", p.machine.Failure)
 		p.reportProgress(Progress{Text: p.machine.Failure, IsDone: true, Pid: os.Getpid()})
 		p.onProgress = nil
-		setMemoryLimit(bounds, 1)
+		d.setMemoryShare(aloneShare)
 		p.customersToCopy = nil
 	}
 }
@@ -295,10 +295,7 @@
 	d.suspendControlGroup()
 	p.send(&pb.Envelope{Body: &pb.Envelope_Commit{Commit: &pb.Commit{Clients: uint32(d.server.OpenConnections()),
 		Upstreams: uint32(d.upstreams.OpenConnections())}}})
-	d.server.HandOver(func(st downstream.ConnState, fd int) {
-		p.result.ClientConnections++
-		p.send(&pb.Envelope{Body: &pb.Envelope_Client{Client: handover.EncodeClientConn(st)}}, fd)
-	})
+	d.server.HandOver(p)
 	d.upstreams.HandOver(func(host string, since time.Duration, fd int) {
 		p.result.UpstreamConnections++
 		p.send(&pb.Envelope{Body: &pb.Envelope_Upstream{Upstream: &pb.UpstreamConnection{Host: host,
@@ -313,6 +310,17 @@
 	d.options.Notify("MAINPID=" + strconv.Itoa(p.result.Pid))
 }
 
+// Receive passes a client connection to the successor. With HasRoom it implements downstream.Receiver.
+func (p *predecessorRole) Receive(st downstream.ConnState, fd int) {
+	p.result.ClientConnections++
+	p.send(&pb.Envelope{Body: &pb.Envelope_Client{Client: handover.EncodeClientConn(st)}}, fd)
+}
+
+// HasRoom reports whether few enough bytes are queued for the successor. Without a successor, what is sent is dropped.
+func (p *predecessorRole) HasRoom() bool {
+	return p.successor == nil || p.successor.conn.QueuedBytes() < p.daemon.cfg.Limits.MaxHandoverQueueBytes
+}
+
 // reclaim serves again after the successor has died: this process takes back its listeners, its connections to the
 // counter and its place among the ingresses. It goes on under the configuration that the successor acted on.
 func (p *predecessorRole) reclaim() {
@@ -329,7 +337,7 @@
 		}
 	}
 	d.server.Resume()
-	setMemoryLimit(d.cfg.Limits, 1)
+	d.setMemoryShare(aloneShare)
 	d.listenForSuccessor()
 	if err := errors.Join(d.openControl(), d.openAdmin()); err != nil {
 		d.log.Warn("control socket not opened", "error", err)
--- a/internal/daemon/replacement.go
+++ b/internal/daemon/replacement.go
@@ -98,7 +98,7 @@
 	}
 	p.successor, p.onProgress, p.result = successor, nil, Progress{}
 	p.machine.HasExternalSuccessor = true
-	setMemoryLimit(d.cfg.Limits, 2)
+	d.setMemoryShare(predecessorShare)
 	d.log.Info("replacement begun")
 	p.handle(phase.UpgradeRequested{})
 }
--- a/internal/daemon/successor.go
+++ b/internal/daemon/successor.go
@@ -230,7 +230,7 @@
 		return
 	}
 	d.drainByVersions()
-	setMemoryLimit(d.cfg.Limits, 2)
+	d.setMemoryShare(successorShare)
 	if d.isReplacement { // it has an admin endpoint of its own, which reports that the process is not ready yet
 		if err := d.openAdmin(); err != nil {
 			s.handle(phase.TakeoverFailed{Reason: err.Error()})
@@ -387,7 +387,7 @@
 	d.server.SetPredecessorConnections(0)
 	d.upstreams.SetPredecessorConnections(0)
 	s.useAllCounterConns()
-	setMemoryLimit(d.cfg.Limits, 1)
+	d.setMemoryShare(aloneShare)
 	s.conn.Close()
 }
 
--- a/internal/daemon/successorprocess.go
+++ b/internal/daemon/successorprocess.go
@@ -39,7 +39,7 @@
 		return
 	}
 	p.successor = successor
-	setMemoryLimit(d.cfg.Limits, 2)
+	d.setMemoryShare(predecessorShare)
 	go func() {
 		successorEnd := os.NewFile(uintptr(successorFD), "handover")
 		cmd := exec.Command(d.options.UpgradeCommand[0], d.options.UpgradeCommand[1:]...)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,22 +28,29 @@
 // passed are the headers that go on to upstream hosts as they came.
 var passed = [...]string{"Request-Id", "Idempotency-Key", "Content-Type"}
 
-// Message makes of a request what goes to an upstream host. The body is copied: the connection that
-// it was read from may be gone before it has been sent.
+// Message makes of a request what goes to an upstream host.
 func Message(r *http1.Request) *upstream.Message {
-	m := &upstream.Message{Method: r.Method, Target: r.Target, Headers: make(http1.Headers, 0, len(passed)+1)}
+	m := &upstream.Message{Method: r.Method, Target: retain(r, r.Target), Headers: make(http1.Headers, 0, len(passed)+1)}
 	for _, name := range passed {
 		if v := r.Headers.Get(name); v != "" {
-			m.Headers = append(m.Headers, http1.Header{Name: name, Value: v})
+			m.Headers = append(m.Headers, http1.Header{Name: name, Value: retain(r, v)})
 		}
 	}
-	if len(r.Body) > 0 {
-		m.Body = append([]byte(nil), r.Body...)
-	}
-	m.BodyPipe = r.BodyPipe
+	m.Body, m.BodyPipe = r.Body, r.BodyPipe
 	return m
 }
 
+// maxRetainedHead is the length of a head up to which all of it is kept for the parts that are used of it.
+const maxRetainedHead = 1 << 10
+
+// retain returns a part of a request's head that may be kept longer than the request, without the rest of a long head.
+func retain(r *http1.Request, part string) string {
+	if r.HeadBytes > maxRetainedHead {
+		return strings.Clone(part)
+	}
+	return part
+}
+
 // once are the fields that upstream hosts or we decide by. Of two, each reader may take another.
 var once = [...]string{"Request-Id", "Request-Class", "Request-Timeout", "Idempotency-Key", "X-Plan", "X-Quota",
 	"Client-Retry", "Content-Type"}
@@ -59,6 +66,9 @@
 	if len(id) > idMost {
 		return fmt.Errorf("Request-Id is over %d bytes", idMost)
 	}
+	if len(r.Headers.Get("Idempotency-Key")) > idMost {
+		return fmt.Errorf("Idempotency-Key is over %d bytes", idMost)
+	}
 	for _, text := range []string{id, r.Headers.Get("Idempotency-Key"), r.Target} {
 		if strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
 			return fmt.Errorf("%q holds what is no visible character", text)
@@ -70,14 +80,14 @@
 	return nil
 }
 
-// idMost bounds an id; we keep those of open streams.
+// idMost bounds an id and a key: they are kept as long as a request with them may run.
 const idMost = 256
 
 // Open opens the stream of a request. It tells whether that was possible: no request may have the id of
 // another that is open, nor its idempotency key.
 func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) bool {
-	req := core.Request{RequestArrived: a, RequestID: r.Headers.Get("Request-Id"), IdempotencyKey: r.Headers.Get("Idempotency-Key"),
-		Owner: o, IsPartial: r.IsStreamed}
+	req := core.Request{RequestArrived: a, RequestID: retain(r, r.Headers.Get("Request-Id")),
+		IdempotencyKey: retain(r, r.Headers.Get("Idempotency-Key")), Owner: o, IsPartial: r.IsStreamed}
 	req.RequestArrived.IsPartial = r.IsStreamed
 	if !r.IsStreamed { // else its time has not begun
 		req.ExpiresIn = max(0, a.ExpiresIn-c.RequestAge())
@@ -92,6 +102,7 @@
 	if c.StreamID = s.StartStream(c.Now(), req); c.StreamID == 0 {
 		return false
 	}
+	m.Hold(c.Memory(), min(r.HeadBytes, maxRetainedHead)+len(r.Target))
 	if req.Trace.Valid() {
 		c.TraceParent = string(tracecontext.AppendParent(nil, req.Trace.Trace, req.Trace.Span, req.Trace.Sampled))
 	}
@@ -107,7 +118,7 @@
 	if r.Headers.Count("Traceparent") == 1 { // of two nobody knows which one is meant
 		state := ""
 		if r.Headers.Count("Tracestate") == 1 {
-			state = r.Headers.Get("Tracestate")
+			state = retain(r, r.Headers.Get("Tracestate"))
 		}
 		if t.Context, ok = tracecontext.Parse(r.Headers.Get("Traceparent"), state); ok {
 			return t
@@ -148,6 +159,15 @@
 	return 429
 }
 
+// RetryAdvice returns the Retry-After field of a response to a request that was refused unread, for which there is no
+// better advice than a second. Other statuses have none.
+func RetryAdvice(status int) http1.Headers {
+	if status != 503 {
+		return nil
+	}
+	return http1.Headers{{Name: "Retry-After", Value: "1"}}
+}
+
 // Customer reads the customer's number: 16 hexadecimal digits, or fewer, below 2^33.
 func Customer(text string) (uint64, bool) {
 	n, err := strconv.ParseUint(text, 16, 33)
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -114,7 +114,7 @@
 
 // HandleMalformed answers what could not be read.
 func (f *Front) HandleMalformed(c *downstream.Conn, status int, what string) {
-	problem(c, status, nil, what)
+	problem(c, status, front.RetryAdvice(status), what)
 }
 
 // read checks that the route's fields are there and takes what the decision needs.
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -99,7 +99,8 @@
 func (f *Front) HandleMalformed(c *downstream.Conn, status int, what string) { local(c, status, what) }
 
 func local(c *downstream.Conn, status int, what string) {
-	c.Reply(status, http1.Headers{{Name: "Content-Type", Value: "text/plain"}}, append([]byte(what), '\n'))
+	h := append(front.RetryAdvice(status), http1.Header{Name: "Content-Type", Value: "text/plain"})
+	c.Reply(status, h, append([]byte(what), '\n'))
 }
 
 // read takes from the headers what the decision needs.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -29,6 +29,12 @@
 	// MaxRelayBufferBytes is the memory for all bodies relayed in one direction; see RelayWindow.
 	MaxRelayBufferBytes int
 
+	// MemoryBudgetBytes is the memory for all that connections hold: input, bodies, unsent output and relayed bodies.
+	MemoryBudgetBytes int
+
+	// MemoryWaitTimeout is how long a request may wait for memory before it is refused.
+	MemoryWaitTimeout time.Duration
+
 	// DownstreamIdleTimeout closes a client connection that is silent this long between requests.
 	DownstreamIdleTimeout time.Duration
 	// FirstRequestTimeout closes a client connection without a request in progress that has not been served this long
@@ -196,12 +202,18 @@
 	relayMemoryDivisor = 16 // each direction uses 1/16 of the memory
 	maxRelayWindow     = 64 << 10
 	minRelayWindow     = 8 << 10
+	relayWindowDivisor = 8 // a new body gets 1/8 of what is left
 )
 
-// RelayWindow returns how many bytes of a new body may be buffered while the given number of bodies are relayed in
-// the same direction.
-func (l Limits) RelayWindow(relays int) int {
-	return min(maxRelayWindow, max(minRelayWindow, l.MaxRelayBufferBytes/(relays+1)))
+// memoryBudgetDivisor makes MemoryBudgetBytes a part of the memory. The rest is for the program itself, the decision
+// module, garbage that is not collected yet, and a second process while one takes the other's place.
+const memoryBudgetDivisor = 6
+
+// RelayWindow returns how many bytes of a new body may be buffered while the given number of bytes is granted to the bodies
+// that are relayed in the same direction. All windows together exceed MaxRelayBufferBytes by no more than minRelayWindow
+// each.
+func (l Limits) RelayWindow(granted int) int {
+	return min(maxRelayWindow, max(minRelayWindow, (l.MaxRelayBufferBytes-granted)/relayWindowDivisor))
 }
 
 // RequestTimeout returns how long after its first byte a request may still be incomplete, when bodyBytes of its body
@@ -269,6 +281,7 @@
 		RelayStallTimeout:      20 * time.Second,
 		RelayStartDelay:        100 * time.Millisecond,
 		EvictionGrace:          25 * time.Millisecond,
+		MemoryWaitTimeout:      250 * time.Millisecond,
 		LingerTimeout:          time.Second,
 		MaxLingerBytes:         1 << 20,
 		MaxPipelinedBytes:      1 << 20,
@@ -373,5 +386,6 @@
 	l.MaxDownstreamConns = min(free/2, l.Sockets*downstreamPercent/100)
 	l.MaxUpstreamConns = free - l.MaxDownstreamConns
 	l.MaxRelayBufferBytes = l.MemoryMB << 20 / relayMemoryDivisor
+	l.MemoryBudgetBytes = l.MemoryMB << 20 / memoryBudgetDivisor
 	return l, nil
 }
--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -6,6 +6,7 @@
 	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 )
 
 // bodyUpload is the body of a streamed request, which is forwarded while it is being received.
@@ -17,12 +18,12 @@
 
 // startUpload passes a streamed request to the handler, which may send it upstream before its body is complete.
 func (c *Conn) startUpload(req *http1.Request) {
-	u := &bodyUpload{pipe: flow.New(c.server.bounds.RelayWindow(c.server.activeUploads), req.ContentLength),
+	u := &bodyUpload{pipe: flow.New(c.server.uploadWindow(), req.ContentLength),
 		rateSince: c.server.loop.Now()}
 	u.pipe.Append(req.Body) // copies it, so the parser's buffer can be released
 	c.parser.ReleaseBodyBuffers()
 	req.Body, req.BodyPipe, c.upload = nil, u.pipe, u
-	c.server.activeUploads++
+	c.server.uploadWindows += u.pipe.Window()
 	u.pipe.OnFreeSpace = c.updateEvents
 	c.listener.handler.HandleRequest(c, req)
 	if c.upload == nil {
@@ -76,8 +77,16 @@
 
 // clearUpload ends the forwarding of the current request's body.
 func (c *Conn) clearUpload() {
+	c.server.uploadWindows -= c.upload.pipe.Window()
 	c.upload = nil
-	c.server.activeUploads--
+}
+
+// uploadWindow returns the window of a further request body.
+func (s *Server) uploadWindow() int {
+	if s.memory.Level(0) != membudget.Ample {
+		return s.bounds.RelayWindow(s.bounds.MaxRelayBufferBytes)
+	}
+	return s.bounds.RelayWindow(s.uploadWindows)
 }
 
 // abortUpload ends an upload that will never be complete. The handler learns that the client is gone, which ends the
@@ -149,22 +158,8 @@
 	if r == nil || c.source.FD() < 0 {
 		return
 	}
-	if b := r.pipe.Bytes(); len(b) > 0 && len(c.unsent) == 0 {
-		n := len(b)
-		if r.framing == http1.FramedByChunks {
-			if !c.write(http1.AppendChunk(make([]byte, 0, n+16), b)) {
-				return
-			}
-		} else {
-			var err error
-			if n, err = loop.Write(c.source.FD(), b); err != nil {
-				c.disconnect(closeReason(err.Error()))
-				return
-			}
-		}
-		r.pipe.Consume(n)
-		c.recordWrite(n)
-		c.updateEvents()
+	if !c.writeRelay(r) {
+		return
 	}
 	switch {
 	case r.pipe.IsTruncated() && len(r.pipe.Bytes()) == 0:
@@ -180,6 +175,42 @@
 	}
 }
 
+// writeRelay writes received bytes of the response body as far as the client takes them. It reports whether the relay goes
+// on.
+func (c *Conn) writeRelay(r *responseRelay) bool {
+	for len(c.unsent) == 0 && len(r.pipe.Bytes()) > 0 {
+		n, err := c.writeRelayPart(r)
+		if err != nil {
+			c.disconnect(closeReason(err.Error()))
+			return false
+		}
+		if c.source.FD() < 0 {
+			return false
+		}
+		r.pipe.Consume(n)
+		c.recordWrite(n)
+		c.updateEvents()
+		if r.framing != http1.FramedByChunks || c.relay != r {
+			break
+		}
+	}
+	return c.relay == r
+}
+
+// maxChunkBytes bounds a chunk, of which an encoded copy is held until the client has taken it.
+const maxChunkBytes = 16 << 10
+
+// writeRelayPart writes the first bytes of the body and returns how many need not be written again.
+func (c *Conn) writeRelayPart(r *responseRelay) (int, error) {
+	b := r.pipe.Bytes()
+	if r.framing != http1.FramedByChunks {
+		return loop.Write(c.source.FD(), b)
+	}
+	n := min(len(b), maxChunkBytes)
+	c.write(http1.AppendChunk(make([]byte, 0, n+16), b[:n]))
+	return n, nil
+}
+
 // abortRelay closes a connection whose response can't be completed. If the end of the connection would mark the end of
 // the response, the connection is reset instead.
 func (c *Conn) abortRelay() {
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -13,6 +13,7 @@
 	"ferryfront.example/ferryfront/internal/limits"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 )
 
 // Handler receives the requests of a listener. It answers each one with a single [Conn.Reply] or [Conn.Relay], at once
@@ -48,17 +49,21 @@
 	idle      connList // served, and no request begun; longest idle first
 	lingering connList // last response written and sending side closed; oldest first
 
-	acceptPaused     bool                 // the listeners are not polled, at the connection limit or for lack of a resource
-	acceptFailed     bool                 // an accept has failed since this was last cleared
-	draining         bool                 // every response closes its connection
-	listenersClosed  bool                 // no new connections are accepted
-	pauseLoggedAt    time.Duration        // last time that an accept pause was logged
-	suspended        bool                 // no new input is read while another process takes over
-	transfer         func(ConnState, int) // receives connections that are handed over; nil: no handover
-	debugEnabled     bool                 // the log accepts debug records
-	acceptedTotal    uint64               // connections accepted or adopted since the start
-	activeUploads    int                  // request bodies that are forwarded while they are received
-	predecessorConns int                  // client connections that the predecessor process still holds
+	acceptPaused     bool              // the listeners are not polled, at the connection limit or for lack of a resource
+	acceptFailed     bool              // an accept has failed since this was last cleared
+	draining         bool              // every response closes its connection
+	listenersClosed  bool              // no new connections are accepted
+	pauseLoggedAt    time.Duration     // last time that an accept pause was logged
+	suspended        bool              // no new input is read while another process takes over
+	receiver         Receiver          // takes over the connections; nil: no handover
+	debugEnabled     bool              // the log accepts debug records
+	acceptedTotal    uint64            // connections accepted or adopted since the start
+	uploadWindows    int               // bytes granted to the pipes of request bodies that are forwarded
+	memory           *membudget.Budget // nil: not limited
+	memoryWaiters    []*Conn           // not read until there is room, longest waiting first
+	memoryLoggedAt   time.Duration     // last time that a shortage of memory was logged
+	handOverTimer    *loop.Timer       // calls handOverIdle; nil: not due
+	predecessorConns int               // client connections that the predecessor process still holds
 }
 
 // New returns a server without listeners that runs on the given loop.
@@ -87,6 +92,7 @@
 		case c.upload != nil && c.isUploadTooSlow(now):
 			c.abortUpload()
 			c.rejectRequest(408, "request not whole in time")
+		case c.memoryWaitSince != 0: // see admitMemoryWaiters
 		case s.suspended: // nothing is read, so missing input is not the client's fault
 		case c.awaitingResponse:
 		case len(c.unsent) > 0: // the next request is not parsed before the response is written
@@ -122,6 +128,11 @@
 	parser   *http1.RequestParser
 	unsent   []byte // response bytes that the socket has not taken yet
 
+	memory          membudget.Account
+	unsentHeld      int           // size of the buffer that unsent is a part of
+	memoryWaitSince time.Duration // since when the connection waits for memory; 0: it does not
+	hasBodyRoom     bool          // there is room for the rest of the body that is being received
+
 	// blockedSince is when the client last took bytes of what waits to be written, or when the socket was first full; 0:
 	// nothing waits.
 	blockedSince time.Duration
@@ -178,6 +189,7 @@
 	c.phaseSince = c.server.loop.Now()
 	c.lastReadAt = c.phaseSince
 	c.parser.ReleaseIdleBuffers()
+	c.updateMemory()
 	c.addToEvictionList()
 }
 
@@ -243,6 +255,7 @@
 		c.relay = nil
 	}
 	c.removeFromList()
+	c.memory.Set(0)
 	delete(c.server.conns, c)
 	c.server.resumeAccepting()
 }
--- a/internal/net/downstream/drain_test.go
+++ b/internal/net/downstream/drain_test.go
@@ -79,7 +79,7 @@
 			w := slowReaderWorld(t)
 			body := w.answerSlowReader(form, func() {
 				w.old.Suspend()
-				w.old.HandOver(func(_ ConnState, fd int) { loop.CloseFD(fd) })
+				w.old.HandOver(receiverFunc(func(_ ConnState, fd int) { loop.CloseFD(fd) }))
 				w.old.EndHandOver()
 			})
 			w.rest(func() {})
--- a/internal/net/downstream/exchange_test.go
+++ b/internal/net/downstream/exchange_test.go
@@ -133,7 +133,7 @@
 // handOver has the next server continue all connections.
 func (w *exchangeWorld) handOver() {
 	w.old.Suspend()
-	w.old.HandOver(func(st ConnState, fd int) { require.NoError(w.t, w.next.AdoptConnection(st, fd)) })
+	w.old.HandOver(receiverFunc(func(st ConnState, fd int) { require.NoError(w.t, w.next.AdoptConnection(st, fd)) }))
 	w.next.Resume()
 }
 
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -56,7 +56,7 @@
 
 // Resume ends Suspend and HandOver: connections are accepted and requests read again.
 func (s *Server) Resume() {
-	s.suspended, s.transfer, s.acceptPaused = false, nil, false
+	s.suspended, s.receiver, s.acceptPaused = false, nil, false
 	s.watchListeners()
 	for _, c := range s.connsByAge() {
 		c.parseRequests()
@@ -73,21 +73,54 @@
 	return conns
 }
 
-// HandOver passes every connection to receive: at once, or when its current request is answered. receive becomes the
-// owner of the descriptor. The server must be suspended and stay so.
-func (s *Server) HandOver(receive func(st ConnState, fd int)) {
-	s.transfer = receive
+// Receiver is another process that takes over connections.
+type Receiver interface {
+	// Receive takes over a connection and its descriptor.
+	Receive(st ConnState, fd int)
+	// HasRoom reports whether it can take a connection now. What it has been passed and not read yet is held in memory.
+	HasRoom() bool
+}
+
+// HandOver passes every connection to the receiver, each as soon as its current request is answered and the receiver has
+// room. The server must be suspended and stay so.
+func (s *Server) HandOver(receiver Receiver) {
+	s.receiver = receiver
+	s.handOverIdle()
+}
+
+// handOverRetryInterval is the time after which connections are passed to a receiver that had no room.
+const handOverRetryInterval = time.Millisecond
+
+// handOverIdle passes on the connections without an unanswered request, as long as the receiver has room. It calls itself
+// again for the rest.
+func (s *Server) handOverIdle() {
+	s.handOverTimer = nil
 	for _, c := range s.connsByAge() {
-		if !c.awaitingResponse {
-			c.handOver()
+		if s.receiver == nil {
+			return
+		}
+		if c.awaitingResponse || c.lingering || c.closeAfterResponse {
+			continue
+		}
+		if !s.receiver.HasRoom() {
+			s.retryHandOver()
+			return
 		}
+		c.handOver()
+	}
+}
+
+// retryHandOver has handOverIdle called once the receiver may have room again.
+func (s *Server) retryHandOver() {
+	if s.handOverTimer == nil {
+		s.handOverTimer = s.loop.After(handOverRetryInterval, s.handOverIdle)
 	}
 }
 
 // EndHandOver ends a handover whose receiving process has ended, in a process that must not serve again. Each connection is
 // closed behind its present response, and the listeners at once: they would hold clients that nobody accepts.
 func (s *Server) EndHandOver() {
-	s.transfer = nil
+	s.receiver = nil
 	for c := range s.conns {
 		c.closeAfterResponse = true
 	}
@@ -108,6 +141,16 @@
 // the common connection limit.
 func (s *Server) SetPredecessorConnections(n int) { s.predecessorConns = max(0, n) }
 
+// handOverOrWait passes a connection that has just become idle to the other process, at once or when that has room.
+func (c *Conn) handOverOrWait() {
+	if c.server.receiver.HasRoom() {
+		c.handOver()
+		return
+	}
+	c.updateEvents()
+	c.server.retryHandOver()
+}
+
 // handOver passes the connection to the other process, unless it is closing anyway.
 func (c *Conn) handOver() {
 	if c.lingering || c.closeAfterResponse || c.source.FD() < 0 {
@@ -118,8 +161,9 @@
 		Arrivals: c.arrivals.ofBuffered(c.parser.Buffered())}
 	fd := c.source.Detach()
 	c.removeFromList()
+	c.memory.Set(0)
 	delete(c.server.conns, c)
-	c.server.transfer(st, fd)
+	c.server.receiver.Receive(st, fd)
 }
 
 // AdoptListener adds a listener on a socket that is already listening. It fails if the socket can't be polled.
@@ -137,7 +181,7 @@
 		loop.CloseFD(fd)
 		return err
 	}
-	c := &Conn{server: s, parser: parser, unsent: st.Unsent, phaseSince: st.PhaseSince,
+	c := &Conn{server: s, parser: parser, unsent: st.Unsent, unsentHeld: cap(st.Unsent), phaseSince: st.PhaseSince,
 		openedAt: st.OpenedAt, lastReadAt: s.loop.Now(), wasServed: st.WasServed,
 		arrivals: restoreArrivals(st.Arrivals, len(st.Parser.Buffered))}
 	c.recordWrite(0)
--- a/internal/net/downstream/handover_test.go
+++ b/internal/net/downstream/handover_test.go
@@ -16,6 +16,12 @@
 	"ferryfront.example/ferryfront/internal/net/nettest"
 )
 
+// receiverFunc takes over connections and always has room.
+type receiverFunc func(ConnState, int)
+
+func (f receiverFunc) Receive(st ConnState, fd int) { f(st, fd) }
+func (receiverFunc) HasRoom() bool                  { return true }
+
 // recordingHandler records requests. The test answers them through pending.
 type recordingHandler struct {
 	targets []string // of the requests, in order
@@ -63,7 +69,7 @@
 	oldHandler.pending[0].Reply(200, nil, nil) // while suspended
 	nettest.Until(t, l, func() bool { return true })
 	require.Equal(t, []string{"/1"}, oldHandler.targets, "pipelined requests must wait")
-	old.HandOver(func(st ConnState, fd int) { require.NoError(t, next.AdoptConnection(st, fd)) })
+	old.HandOver(receiverFunc(func(st ConnState, fd int) { require.NoError(t, next.AdoptConnection(st, fd)) }))
 	next.Resume()
 	_, err = io.WriteString(idle, "TP/1.1\r\n\r\n")
 	require.NoError(t, err)
--- a/internal/net/downstream/listener.go
+++ b/internal/net/downstream/listener.go
@@ -139,6 +139,8 @@
 	s.acceptedTotal++
 	c.id = s.acceptedTotal
 	s.conns[c] = struct{}{}
+	c.memory = s.memory.Open()
+	c.updateMemory()
 	c.traceOpened()
 	c.addToEvictionList()
 	return nil
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -19,6 +19,11 @@
 // readDelayed reads input that may have arrived up to delay earlier. If delay is positive, no request is started before
 // further reads have shown whether the client is still connected.
 func (c *Conn) readDelayed(delay time.Duration) {
+	if c.lacksMemory() {
+		c.awaitMemory()
+		c.updateEvents()
+		return
+	}
 	received, open := c.readOnce(delay)
 	for n := 0; open && received && delay > 0 && c.upload == nil && n < maxDelayedReads; n++ {
 		received, open = c.readOnce(delay)
@@ -31,11 +36,11 @@
 }
 
 // readOnce reads the socket once and buffers the input, which may have arrived up to delay earlier. It reports whether
-// bytes were received, and whether the connection is still open. It reads at most MaxHeaderBytes, or what the pipe of an
-// upload has space for: hundreds of long bodies that begin at the same time must not each buffer a first part as large
+// bytes were received, and whether the connection is still open. It reads at most about MaxHeaderBytes, or what the pipe of
+// an upload has space for: hundreds of long bodies that begin at the same time must not each buffer a first part as large
 // as the read buffer.
 func (c *Conn) readOnce(delay time.Duration) (received, open bool) {
-	limit := c.server.bounds.MaxHeaderBytes
+	limit := c.maxHeadRead()
 	if c.upload != nil {
 		limit = max(1, c.upload.pipe.FreeSpace())
 	}
@@ -89,6 +94,7 @@
 			}
 			break
 		}
+		c.hasBodyRoom = false
 		c.exchange = exchange{awaitingResponse: true, arrivedAt: c.arrivals.lastParsed(c.parser.Buffered(), c.Now()),
 			isHead: req.Method == "HEAD", isHTTP10: req.IsHTTP10}
 		c.closeAfterResponse = c.closeAfterResponse || req.Close
@@ -101,6 +107,7 @@
 		c.listener.handler.HandleRequest(c, req)
 	}
 	if !c.awaitingResponse && !c.lingering && c.source.FD() >= 0 && c.parser.HasMessageStarted() {
+		c.reserveMemory()
 		c.addToEvictionList()
 	}
 	c.updateEvents()
@@ -133,6 +140,7 @@
 	if c.source.FD() < 0 {
 		return
 	}
+	c.updateMemory()
 	events := uint32(loop.Hangup)
 	switch {
 	case c.server.suspended && !c.awaitingResponse && !c.lingering:
@@ -143,9 +151,8 @@
 		if events = loop.Hangup; c.upload.pipe.FreeSpace() > 0 { // while the pipe is full, only a hangup matters
 			events |= loop.In
 		}
-	case c.overflowBytes > c.server.bounds.MaxLingerBytes:
-	case c.awaitingResponse && !c.isPipelineFull(), c.parser.Buffered() <= c.maxBufferedBytes():
-		events |= loop.In
+	default:
+		events = c.inputEvents()
 	}
 	if c.hasUnwritten() {
 		events |= loop.Out
@@ -159,7 +166,7 @@
 		c.exchange = exchange{awaitingResponse: true}
 	}
 	c.closeAfterResponse = true
-	c.hasUnreadBody = c.hasUnreadBody || status == 413 // the client may write the whole body before it reads
+	c.hasUnreadBody = c.hasUnreadBody || status == 413 || status == statusNoMemory // the client may write the whole body before it reads
 	c.removeFromList()
 	c.listener.handler.HandleMalformed(c, status, message)
 }
--- a/internal/net/downstream/response.go
+++ b/internal/net/downstream/response.go
@@ -19,12 +19,16 @@
 	}
 	c.wasServed = c.wasServed || status < 400 || status == 429 || status >= 500
 	c.closeAfterResponse = c.closeAfterResponse || c.server.draining
-	if !c.write(http1.AppendResponse(nil, status, h, body, c.closeAfterResponse, c.isHead)) {
+	b := make([]byte, 0, responseHeadBytes+len(body))
+	if !c.write(http1.AppendResponse(b, status, h, body, c.closeAfterResponse, c.isHead)) {
 		return
 	}
 	c.finishResponse()
 }
 
+// responseHeadBytes is enough for the heads of most responses.
+const responseHeadBytes = 256
+
 // withTraceParent returns the headers with the traceparent header of the response added, if there is one.
 func (c *Conn) withTraceParent(h http1.Headers) http1.Headers {
 	if c.TraceParent != "" {
@@ -43,8 +47,8 @@
 	}
 	c.setIdle()
 	switch {
-	case c.server.transfer != nil && !c.parsing:
-		c.handOver()
+	case c.server.receiver != nil && !c.parsing:
+		c.handOverOrWait()
 	case c.server.suspended:
 		c.updateEvents()
 	case c.server.listenersClosed: // the response may have begun before the drain, without announcing the end
@@ -54,10 +58,12 @@
 	}
 }
 
-// write sends what the socket takes and buffers the rest. It reports whether the connection is still open.
+// write sends what the socket takes and keeps the rest, so that b belongs to the connection. It reports whether the
+// connection is still open.
 func (c *Conn) write(b []byte) bool {
 	if len(c.unsent) > 0 {
 		c.unsent = append(c.unsent, b...)
+		c.unsentHeld = cap(c.unsent)
 		return true
 	}
 	n, err := loop.Write(c.source.FD(), b)
@@ -66,7 +72,7 @@
 		return false
 	}
 	if n < len(b) {
-		c.unsent = append(c.unsent, b[n:]...)
+		c.unsent, c.unsentHeld = b[n:], cap(b)
 		c.recordWrite(n)
 		c.updateEvents()
 	}
@@ -84,7 +90,7 @@
 	c.unsent = c.unsent[n:]
 	c.recordWrite(n)
 	if len(c.unsent) == 0 {
-		c.unsent = nil
+		c.unsent, c.unsentHeld = nil, 0
 		switch {
 		case c.lingering:
 			c.shutdownWrite()
--- a/internal/net/flow/flow.go
+++ b/internal/net/flow/flow.go
@@ -28,6 +28,12 @@
 // New returns an empty pipe. window is in bytes, length is that of the whole body, -1 if it is not known in advance.
 func New(window int, length int64) *Pipe { return &Pipe{maxUnread: window, ContentLength: length} }
 
+// Window returns how many bytes the writer may have unread in the pipe.
+func (p *Pipe) Window() int { return p.maxUnread }
+
+// HeldBytes returns the size of the pipe's buffer.
+func (p *Pipe) HeldBytes() int { return cap(p.storage) }
+
 // FreeSpace returns how many bytes the writer may append to stay within the window. Once the reader has closed it is
 // always the whole window, because appended bytes are discarded.
 func (p *Pipe) FreeSpace() int {
--- a/internal/net/http1/http1.go
+++ b/internal/net/http1/http1.go
@@ -70,7 +70,8 @@
 type Request struct {
 	Method, Target string
 	Headers        Headers
-	Body           []byte     // valid until the next call of the parser
+	HeadBytes      int        // length of the text that the strings of Headers are parts of
+	Body           []byte     // the caller's to keep, unless IsStreamed: then valid until the next call of the parser
 	Close          bool       // the client wants the connection to be closed after the response
 	IsHTTP10       bool       // the protocol is HTTP/1.0, which has no chunked bodies
 	IsStreamed     bool       // Body is only the beginning; NextBodyPart returns the rest
--- a/internal/net/http1/reader.go
+++ b/internal/net/http1/reader.go
@@ -22,6 +22,7 @@
 	maxHead, maxBody int
 	streamThreshold  int // a body of more bytes is streamed; 0: none is
 
+	fieldText      string // the fields of the message that is being read
 	storage        []byte // the memory that unparsed is a part of
 	unparsed       []byte
 	scanned        int  // bytes of unparsed known to contain no end of a head, or no end of a chunk line
@@ -47,19 +48,48 @@
 	chunkTrailers
 )
 
-// Feed copies received bytes into the parser. The space of parsed bytes is reclaimed only here. Reclaiming it after each
-// message would move all later messages each time, and hundreds may be pipelined.
+// Feed copies received bytes into the parser: those of a body that is read whole to where it is collected, others to the
+// unparsed ones. The space of parsed bytes is reclaimed only here. Reclaiming it after each message would move all later
+// messages each time, and hundreds may be pipelined.
 func (r *reader) Feed(b []byte) {
+	if b = b[r.feedBody(b):]; len(b) == 0 {
+		return
+	}
 	switch capacity := cap(r.storage); {
 	case len(b) <= cap(r.unparsed)-len(r.unparsed):
 		r.unparsed = append(r.unparsed, b...)
 		return
 	case len(r.unparsed)+len(b) > capacity:
-		r.storage = make([]byte, 0, max(len(r.unparsed)+len(b), 2*capacity))
+		r.storage = make([]byte, 0, max(len(r.unparsed)+len(b), min(2*capacity, max(r.maxHead, capacity+capacity/4))))
 	}
 	r.unparsed = append(append(r.storage[:0], r.unparsed...), b...)
 }
 
+// feedBody appends the leading bytes of b to the body that is being read, if they are its next bytes and need no parsing.
+// It returns how many they are.
+func (r *reader) feedBody(b []byte) int {
+	if !r.inBody || r.isStreaming || len(r.unparsed) > 0 ||
+		r.bodyFraming != lengthFraming && (r.bodyFraming != chunkedFraming || r.nextChunkPart != chunkData) {
+		return 0
+	}
+	n := min(r.bytesLeft, len(b))
+	r.appendBody(b[:n])
+	r.bytesLeft -= n
+	return n
+}
+
+// appendBody appends bytes to the body. Its buffer grows to twice its size, but not beyond a length that is known.
+func (r *reader) appendBody(b []byte) {
+	if need := len(r.body) + len(b); need > cap(r.body) {
+		capacity := max(need, 2*cap(r.body))
+		if r.bodyFraming == lengthFraming {
+			capacity = max(need, min(capacity, len(r.body)+r.bytesLeft))
+		}
+		r.body = append(make([]byte, 0, capacity), r.body...)
+	}
+	r.body = append(r.body, b...)
+}
+
 // maxIdleBuffer is the size in bytes up to which a buffer is kept while its connection is idle.
 const maxIdleBuffer = 4 << 10
 
@@ -74,6 +104,21 @@
 	}
 }
 
+// HeldBytes returns how much memory the parser holds for input.
+func (r *reader) HeldBytes() int { return cap(r.storage) + cap(r.body) + len(r.fieldText) }
+
+// ExpectedBodyBytes returns how much of the body that is being read will have been buffered before its message is returned:
+// the most that it may be, if its length is not known. It is 0 if no body is being read, or one that is streamed.
+func (r *reader) ExpectedBodyBytes() int {
+	switch {
+	case !r.inBody || r.isStreaming:
+		return 0
+	case r.bodyFraming == lengthFraming:
+		return len(r.body) + r.bytesLeft
+	}
+	return max(r.streamThreshold, len(r.body))
+}
+
 // Buffered returns how many bytes were fed and are not parsed yet.
 func (r *reader) Buffered() int { return len(r.unparsed) }
 
@@ -110,7 +155,7 @@
 
 // readHead returns the start line and the fields once the head is complete; until then ok is false. The head ends with
 // two CRLF or with two bare line feeds; within it, lines may end with either. Empty lines before the start line are
-// skipped.
+// skipped. The text of the fields is kept for parseFields.
 func (r *reader) readHead() (start string, h Headers, ok bool, err error) {
 	for len(r.unparsed) > 0 && r.scanned == 0 && (r.unparsed[0] == '\r' || r.unparsed[0] == '\n') {
 		r.consume(1)
@@ -132,24 +177,37 @@
 	}
 	text := string(r.unparsed[:end])
 	r.consume(end + separator)
-	start, rest, _ := strings.Cut(text, "\n")
+	start, r.fieldText, _ = strings.Cut(text, "\n")
 	start = strings.TrimSuffix(start, "\r")
-	h = make(Headers, 0, 12)
-	for rest != "" {
+	h, err = r.parseFields()
+	return start, h, err == nil, err
+}
+
+// parseFields returns the fields of the message that is being read. They may need many times the memory of their text, so
+// they are not kept while the body is being received.
+func (r *reader) parseFields() (Headers, error) {
+	h := make(Headers, 0, strings.Count(r.fieldText, "\n")+1)
+	for rest := r.fieldText; rest != ""; {
 		var line string
 		line, rest, _ = strings.Cut(rest, "\n")
 		line = strings.TrimSuffix(line, "\r")
 		name, value, found := strings.Cut(line, ":")
 		if !found || !isToken(name) {
-			return "", nil, false, newParseError(400, "malformed header line")
+			return nil, newParseError(400, "malformed header line")
 		}
 		value = strings.Trim(value, " \t")
 		if strings.ContainsAny(value, "\r\x00") {
-			return "", nil, false, newParseError(400, "malformed header value")
+			return nil, newParseError(400, "malformed header value")
 		}
 		h = append(h, Header{name, value})
 	}
-	return start, h, true, nil
+	return h, nil
+}
+
+// fieldsAgain parses the fields of the message that is being read once more. They were found to be well-formed.
+func (r *reader) fieldsAgain() Headers {
+	h, _ := r.parseFields()
+	return h
 }
 
 // isToken reports whether s is an HTTP token. A field name with a space before the colon or at the start is none: such
@@ -268,7 +326,7 @@
 // moveToBody moves up to bytesLeft bytes from unparsed to body.
 func (r *reader) moveToBody() {
 	n := min(r.bytesLeft, len(r.unparsed))
-	r.body = append(r.body, r.unparsed[:n]...)
+	r.appendBody(r.unparsed[:n])
 	r.bytesLeft -= n
 	r.consume(n)
 }
--- a/internal/net/http1/request.go
+++ b/internal/net/http1/request.go
@@ -39,15 +39,25 @@
 		p.expectsContinue = proto == "HTTP/1.1" && strings.EqualFold(h.Get("Expect"), "100-continue")
 	}
 	isComplete, err := p.readBody()
-	if err != nil || !isComplete && !p.shouldStream() {
+	if err != nil {
 		return nil, err
 	}
+	if !isComplete && !p.shouldStream() {
+		if p.fieldText != "" {
+			p.request.Headers = nil
+		}
+		return nil, nil
+	}
 	request := p.request
-	p.request, request.Body, request.ContentLength = nil, p.body, p.contentLength()
+	if request.Headers == nil {
+		request.Headers = p.fieldsAgain()
+	}
+	p.request, request.Body, request.ContentLength, request.HeadBytes = nil, p.body, p.contentLength(), len(p.fieldText)
+	p.fieldText = ""
 	if p.shouldStream() { // also if the body is complete: the result must not depend on how the input was split
 		p.isStreaming, p.isBodyComplete, request.IsStreamed = true, isComplete, true
 	} else {
-		p.inBody, p.expectsContinue = false, false
+		p.inBody, p.expectsContinue, p.body = false, false, nil
 	}
 	return request, nil
 }
--- a/internal/net/http1/response.go
+++ b/internal/net/http1/response.go
@@ -58,6 +58,7 @@
 	case p.shouldStream():
 		return p.StartStreaming(), nil
 	}
+	p.response.Headers = nil
 	return nil, nil
 }
 
@@ -68,8 +69,8 @@
 	if p.response == nil || p.isStreaming {
 		return nil
 	}
-	response := p.response
-	p.response, p.isStreaming = nil, true
+	response := p.takeResponse()
+	p.isStreaming = true
 	response.Body, response.IsStreamed, response.ContentLength = p.body, true, p.contentLength()
 	return response
 }
@@ -82,12 +83,28 @@
 
 // finishResponse returns the response that is being read with what has been read of its body.
 func (p *ResponseParser) finishResponse() *Response {
-	response := p.response
+	response := p.takeResponse()
 	response.ContentLength = p.contentLength()
-	p.inBody, p.response, response.Body = false, nil, p.body
+	p.inBody, response.Body = false, p.body
 	return response
 }
 
+// takeResponse returns the response that is being read, with its fields.
+func (p *ResponseParser) takeResponse() *Response {
+	response := p.response
+	if response.Headers == nil {
+		response.Headers = p.fieldsAgain()
+	}
+	p.response, p.fieldText = nil, ""
+	return response
+}
+
+// CanStream reports whether the head of a response with status 200 has been read and the response is not streamed yet, so
+// that StartStreaming returns it with what has come of its body.
+func (p *ResponseParser) CanStream() bool {
+	return p.inBody && !p.isStreaming && p.response != nil && p.response.Status == 200
+}
+
 // EndsWithConnection reports whether a streamed body is complete when its connection is closed. It is to be called when
 // the server has closed the connection in an orderly way.
 func (p *ResponseParser) EndsWithConnection() bool {
--- a/internal/net/http1/state.go
+++ b/internal/net/http1/state.go
@@ -37,6 +37,9 @@
 		s.HasStartLine = true
 		s.Method, s.Target, s.Headers, s.Close =
 			p.request.Method, p.request.Target, p.request.Headers, p.request.Close || p.request.IsHTTP10
+		if s.Headers == nil {
+			s.Headers = p.fieldsAgain()
+		}
 	}
 	return s
 }
@@ -58,7 +61,8 @@
 		s.BytesLeft, chunkPart(s.ChunkState), s.TrailerBytes, s.ExpectsContinue
 	p.body = slices.Clone(s.Body)
 	if s.InBody {
-		p.request = &Request{Method: s.Method, Target: s.Target, Headers: s.Headers, Close: s.Close, IsHTTP10: s.Close}
+		p.request = &Request{Method: s.Method, Target: s.Target, Close: s.Close, IsHTTP10: s.Close}
+		p.fieldText = string(appendHeaders(nil, s.Headers))
 	}
 	return p, nil
 }
--- a/internal/net/upstream/body.go
+++ b/internal/net/upstream/body.go
@@ -7,6 +7,7 @@
 	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 )
 
 // Gone reports whether part of a forwarded body has been written to a host, or encoded for it. That part is not kept, so
@@ -23,7 +24,7 @@
 func (c *conn) attachBody(pipe *flow.Pipe) {
 	c.body, c.bodyProgressAt = pipe, c.pool.loop.Now()
 	pipe.OnData = func() {
-		if c.isConnected && c.message == nil && c.source.FD() >= 0 && len(c.unsent) == 0 {
+		if c.isConnected && c.message == nil && c.source.FD() >= 0 && !c.hasUnwritten() {
 			c.flush()
 		}
 	}
@@ -59,15 +60,20 @@
 	if len(b) == 0 && !c.body.IsComplete() {
 		return false, nil
 	}
+	b = b[:min(len(b), maxChunkBytes)]
 	c.unsent = http1.AppendChunk(make([]byte, 0, len(b)+24), b)
 	c.body.Consume(len(b))
 	if c.body.IsComplete() {
 		c.unsent = http1.AppendLastChunk(c.unsent)
 		c.detachBody()
 	}
+	c.unsentHeld = cap(c.unsent)
 	return true, nil
 }
 
+// maxChunkBytes bounds a chunk, of which an encoded copy is held until the host has taken it.
+const maxChunkBytes = 16 << 10
+
 // relay is a response body that is forwarded while it is being received.
 type relay struct {
 	pipe       *flow.Pipe
@@ -81,11 +87,12 @@
 	ref := c.ref
 	c.earlyRelayTimer.Stop()
 	delete(c.pool.active, ref)
-	pipe := flow.New(c.pool.bounds.RelayWindow(len(c.pool.relays)), resp.ContentLength)
+	pipe := flow.New(c.pool.relayWindow(), resp.ContentLength)
 	c.relay = &relay{pipe: pipe, progressAt: c.pool.loop.Now()}
-	c.closeAfterRelay = resp.Close || len(c.unsent) > 0 || c.body != nil
+	c.closeAfterRelay = resp.Close || c.hasUnwritten() || c.body != nil
 	c.detachBody()
 	c.pool.relays[c] = struct{}{}
+	c.pool.relayWindows += pipe.Window()
 	pipe.OnFreeSpace = func() {
 		if pipe.IsReadClosed() {
 			c.clearRelay()
@@ -103,6 +110,14 @@
 	}
 }
 
+// relayWindow returns the window of a further response body.
+func (p *Pool) relayWindow() int {
+	if p.memory.Level(0) != membudget.Ample {
+		return p.bounds.RelayWindow(p.bounds.MaxRelayBufferBytes)
+	}
+	return p.bounds.RelayWindow(p.relayWindows)
+}
+
 // pumpRelay moves received bytes of the response body into the pipe.
 func (c *conn) pumpRelay() {
 	b, complete, err := c.parser.NextBodyPart()
@@ -148,6 +163,7 @@
 
 // clearRelay detaches the pipe of the relay from the connection.
 func (c *conn) clearRelay() {
+	c.pool.relayWindows -= c.relay.pipe.Window()
 	c.relay.pipe.OnFreeSpace = nil
 	c.relay, c.hasRequest = nil, false
 	delete(c.pool.relays, c)
@@ -165,7 +181,7 @@
 	}
 	for _, c := range p.active {
 		// Either no body is left to read, or the client has to send more of it, for which downstream has a timeout.
-		if c.body == nil || len(c.unsent) == 0 && len(c.body.Bytes()) == 0 {
+		if c.body == nil || !c.hasUnwritten() && len(c.body.Bytes()) == 0 {
 			c.bodyProgressAt = now
 		} else if c.isConnected && now-c.bodyProgressAt > p.bounds.RelayStallTimeout {
 			c.fail(errNoProgress)
--- a/internal/net/upstream/handover.go
+++ b/internal/net/upstream/handover.go
@@ -41,6 +41,7 @@
 // handOver passes the idle connection to the other process.
 func (c *conn) handOver() {
 	fd := c.source.Detach()
+	c.memory.Set(0)
 	c.pool.connCount--
 	c.pool.transfer(c.host.name, c.idleSince, fd)
 }
@@ -55,7 +56,7 @@
 		loop.CloseFD(fd)
 		return nil
 	}
-	c := &conn{pool: p, host: h, address: h.address, isConnected: true, idleSince: since,
+	c := &conn{pool: p, host: h, address: h.address, memory: p.memory.Open(), isConnected: true, idleSince: since,
 		parser: http1.NewResponseParser(p.bounds.MaxHeaderBytes, p.bounds.MaxBodyBytes, p.bounds.MaxBufferedBodyBytes)}
 	var err error
 	if c.source, err = p.loop.Watch(fd, loop.In|loop.Hangup, c); err != nil {
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -10,6 +10,7 @@
 	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 	"ferryfront.example/ferryfront/internal/tracecontext"
 )
 
@@ -21,8 +22,19 @@
 	BodyPipe       *flow.Pipe // replaces Body if the body is still being received; nil: it is not
 	Trace          core.Trace // sent as traceparent and tracestate; zero: none
 	AtMostOnce     bool       // must not run twice, so it can't be retried once it may have run
+
+	memory membudget.Account
+}
+
+// Hold accounts for the message until Release. headBytes is the length of the text that its strings are parts of.
+func (m *Message) Hold(budget *membudget.Budget, headBytes int) {
+	m.memory = budget.Open()
+	m.memory.Set(headBytes + cap(m.Body))
 }
 
+// Release ends the accounting for the message, which is not sent any more.
+func (m *Message) Release() { m.memory.Set(0) }
+
 // Start sends a request to a host and reports its outcome to the sink. wait is the time left until the deadline of the
 // request; the host is told what is left of it when the request is written. payload must be a *Message.
 func (p *Pool) Start(ref core.Ref, name string, payload core.Payload, wait time.Duration) {
@@ -93,7 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{pool: p, host: host, address: host.address,
+	c := &conn{pool: p, host: host, address: host.address, memory: p.memory.Open(),
 		parser: http1.NewResponseParser(p.bounds.MaxHeaderBytes, p.bounds.MaxBodyBytes, p.bounds.MaxBufferedBodyBytes)}
 	if c.source, err = p.loop.Watch(fd, loop.Out|loop.Hangup, c); err != nil {
 		loop.CloseFD(fd)
@@ -134,14 +146,27 @@
 			headers = append(headers, http1.Header{Name: "tracestate", Value: t.State})
 		}
 	}
-	b := make([]byte, 0, 512+len(m.Body))
-	if m.BodyPipe != nil {
-		c.unsent = http1.AppendRequestHead(b, m.Method, m.Target, "service.internal", headers, m.BodyPipe.ContentLength)
-	} else {
-		c.unsent = http1.AppendRequest(b, m.Method, m.Target, "service.internal", headers, m.Body)
-	}
+	switch {
+	case m.BodyPipe != nil:
+		c.unsent = http1.AppendRequestHead(make([]byte, 0, requestHeadBytes), m.Method, m.Target, "service.internal", headers,
+			m.BodyPipe.ContentLength)
+	case len(m.Body) > maxCopiedBody:
+		c.unsent = http1.AppendRequestHead(make([]byte, 0, requestHeadBytes), m.Method, m.Target, "service.internal", headers,
+			int64(len(m.Body)))
+		c.wholeBody = m.Body
+	default:
+		c.unsent = http1.AppendRequest(make([]byte, 0, requestHeadBytes+len(m.Body)), m.Method, m.Target, "service.internal",
+			headers, m.Body)
+	}
+	c.unsentHeld = cap(c.unsent)
 }
 
+// requestHeadBytes is enough for the heads of most requests.
+const requestHeadBytes = 512
+
+// maxCopiedBody is the length up to which a body is copied behind its head, to be written in one call.
+const maxCopiedBody = 4 << 10
+
 // handleConnected completes the dial and writes the waiting request, unless its deadline has passed.
 func (c *conn) handleConnected() {
 	if c.pool.loop.HasStalled() { // input of clients and discovery that arrived in the stall is read first, next turn
@@ -174,6 +199,10 @@
 			c.fail(err)
 			return
 		}
+		if len(c.unsent) == 0 && len(c.wholeBody) > 0 {
+			c.unsent, c.wholeBody, c.unsentHeld = c.wholeBody, nil, 0
+			continue
+		}
 		if len(c.unsent) > 0 {
 			c.source.SetEvents(loop.In | loop.Out | loop.Hangup)
 			return
@@ -199,6 +228,6 @@
 		*c.pool.requestsWritten++
 		c.writtenAt = c.pool.loop.Now()
 	}
-	c.unsent = nil
+	c.unsent, c.unsentHeld = nil, 0
 	c.source.SetEvents(loop.In | loop.Hangup)
 }
--- a/internal/net/upstream/response.go
+++ b/internal/net/upstream/response.go
@@ -10,6 +10,7 @@
 	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 )
 
 // read reads the socket and processes the response to the current request. On an idle connection, any input or the end
@@ -22,8 +23,10 @@
 		return
 	}
 	buf := c.pool.loop.ReadBuffer()
+	buf = buf[:min(len(buf), maxResponseRead)]
 	for {
 		if c.relay != nil { // no more than the pipe has space for
+			buf = c.pool.loop.ReadBuffer()
 			buf = buf[:min(len(buf), max(1, c.relay.pipe.FreeSpace()))]
 		}
 		n, err := loop.Read(c.source.FD(), buf)
@@ -36,7 +39,7 @@
 				c.finishRelay()
 				return
 			}
-			if errors.Is(err, io.EOF) && c.hasRequest && c.relay == nil && len(c.unsent) == 0 {
+			if errors.Is(err, io.EOF) && c.hasRequest && c.relay == nil && !c.hasUnwritten() {
 				// A response without a length ends with the connection. If it was truncated, that can't be detected.
 				if resp := c.parser.FinishAtEOF(); resp != nil {
 					c.completeResponse(resp)
@@ -74,6 +77,9 @@
 		case resp != nil:
 			c.completeResponse(resp)
 			return
+		case c.parser.CanStream() && c.pool.memory.Level(c.parser.ExpectedBodyBytes()) != membudget.Ample:
+			c.startRelay(c.parser.StartStreaming())
+			return
 		case c.earlyRelayTimer == nil && c.parser.HasUnknownLength():
 			// A short response counts as answered with its last byte, which arrives soon. A long one counts with its
 			// first bytes, so it is relayed from now on.
@@ -90,6 +96,9 @@
 	}
 }
 
+// maxResponseRead bounds one read of a response that is not relayed yet, which is copied to the parser's buffer.
+const maxResponseRead = 16 << 10
+
 // completeResponse reports the outcome of a request whose response is complete. The connection is not reused if the
 // response came before the request was completely written, or if more bytes follow it.
 func (c *conn) completeResponse(resp *http1.Response) {
@@ -101,7 +110,7 @@
 	c.earlyRelayTimer.Stop()
 	delete(c.pool.active, ref)
 	answer := core.Answer{Body: resp.Body, ContentType: resp.Headers.Get("Content-Type"), Billed: chargedUnits(resp)}
-	if resp.Close || len(c.unsent) > 0 || c.body != nil || c.parser.Buffered() > 0 {
+	if resp.Close || c.hasUnwritten() || c.body != nil || c.parser.Buffered() > 0 {
 		c.detachBody()
 		c.close(errNotReusable)
 	} else {
@@ -109,6 +118,9 @@
 	}
 	c.pool.reportOutcome(ref, isProbe, responseOutcome(resp), answer)
 	c.parser.ReleaseIdleBuffers()
+	if c.source.FD() >= 0 {
+		c.updateMemory()
+	}
 }
 
 // chargedUnits returns the units that the host charged for a successful request, from the X-Units-Charged header. It
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
+	"ferryfront.example/ferryfront/internal/net/membudget"
 )
 
 // Sink receives the outcomes of upstream requests and probes. Each one that is started ends with one call, possibly
@@ -48,6 +49,9 @@
 
 	resetStats resetStats
 
+	memory       *membudget.Budget // nil: not limited
+	relayWindows int               // bytes granted to the pipes of relayed responses
+
 	// predecessorConns is the number of upstream connections that the predecessor process still holds.
 	predecessorConns int
 
@@ -64,6 +68,9 @@
 	return p
 }
 
+// SetMemory sets the budget that the connections share with others. It is to be called before the first connection.
+func (p *Pool) SetMemory(budget *membudget.Budget) { p.memory = budget }
+
 // SetSink sets the receiver of the outcomes.
 func (p *Pool) SetSink(s Sink) { p.sink = s }
 
@@ -104,6 +111,7 @@
 	address string // address of the host when the connection was opened
 	source  *loop.Source
 	parser  *http1.ResponseParser
+	memory  membudget.Account
 
 	isConnected bool // the TCP connection is established
 	dialTimer   *loop.Timer
@@ -124,6 +132,9 @@
 	restTimer *loop.Timer   // starts a request that waits until the connection has rested
 	deadline  time.Duration // in loop time
 	unsent    []byte        // encoded request bytes that the socket has not taken yet
+	wholeBody []byte        // a body that is held whole, to be written after unsent
+
+	unsentHeld int // size of the buffer that unsent is a part of; 0 while it is part of the message
 	writtenAt time.Duration // when the request was written completely
 
 	bodyProgressAt time.Duration // last time that the host took request bytes, or that there were none to write
@@ -160,7 +171,19 @@
 
 // isFullyWritten reports whether the last byte of the request is written.
 func (c *conn) isFullyWritten() bool {
-	return c.isConnected && c.message == nil && len(c.unsent) == 0 && c.body == nil
+	return c.isConnected && c.message == nil && len(c.unsent) == 0 && len(c.wholeBody) == 0 && c.body == nil
+}
+
+// hasUnwritten reports whether request bytes wait until the socket takes them.
+func (c *conn) hasUnwritten() bool { return len(c.unsent) > 0 || len(c.wholeBody) > 0 }
+
+// updateMemory accounts for what the connection holds.
+func (c *conn) updateMemory() {
+	held := c.parser.HeldBytes() + c.unsentHeld
+	if c.relay != nil {
+		held += c.relay.pipe.HeldBytes()
+	}
+	c.memory.Set(held)
 }
 
 // reportOutcome passes the outcome of a request or probe to the sink.
@@ -184,9 +207,12 @@
 	if events&(loop.In|loop.Hangup) != 0 {
 		c.read()
 	}
-	if events&loop.Out != 0 && c.relay == nil && c.source.FD() >= 0 && (len(c.unsent) > 0 || c.body != nil) {
+	if events&loop.Out != 0 && c.relay == nil && c.source.FD() >= 0 && (c.hasUnwritten() || c.body != nil) {
 		c.flush()
 	}
+	if c.source.FD() >= 0 {
+		c.updateMemory()
+	}
 }
 
 // fail closes the connection and reports the outcome of its request. A request can't have run before its last byte was
@@ -232,6 +258,7 @@
 	c.restTimer.Stop()
 	c.earlyRelayTimer.Stop()
 	c.source.Close()
+	c.memory.Set(0)
 	c.pool.connCount--
 	for i, o := range c.host.idle {
 		if o == c {
