--- a/cmd/ferryfront/testenv_test.go
+++ b/cmd/ferryfront/testenv_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -71,6 +72,7 @@
 	counter               *standin.Counter
 	isDiscoveryDown       bool   // discovery doesn't listen
 	discoveryAddr         string // of a discovery that the test runs itself; empty: the environment runs one
+	binary                string // of the daemon; empty: binaryPath
 	args                  []string
 	maxDescriptors        int // RLIMIT_NOFILE of the daemon; 0: as for the test
 	modifyConfig          func(config, settings map[string]any)
@@ -263,7 +265,7 @@
 
 // launch starts the daemon with the configuration that was written last.
 func (env *testEnv) launch() {
-	command := append([]string{binaryPath, "serve"}, env.args...)
+	command := append([]string{cmp.Or(env.binary, binaryPath), "serve"}, env.args...)
 	if env.maxDescriptors > 0 {
 		command = append([]string{"/bin/sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, env.maxDescriptors)}, command...)
 	}
--- a/internal/net/loop/injected_faults.go
+++ b/internal/net/loop/injected_faults.go
@@ -24,6 +24,7 @@
 //     a part; broken makes a read or write fail as on a lost connection.
 //   - from, until: when faults are injected, since the start of the process, as Go durations; 0 and one hour by default.
 //   - step: how far the wall clock is set forward at the time from, as a Go duration.
+//   - sendbuffer: the size of the send buffer of the connections that are dialed, in bytes.
 //   - spare: a local port whose connections are not broken. Clients see the loss of their own connections, and no ingress
 //     can make up for it.
 //
@@ -39,6 +40,7 @@
 	from, until   time.Duration // since startedAt
 	clockStep     time.Duration // added to the wall clock at the time from
 	sparedPort    int
+	sendBuffer    int // bytes; 0: the system's choice
 }
 
 func init() {
@@ -72,6 +74,8 @@
 			f.clockStep, err = time.ParseDuration(value)
 		case "spare":
 			f.sparedPort, err = strconv.Atoi(value)
+		case "sendbuffer":
+			f.sendBuffer, err = strconv.Atoi(value)
 		case "accept", "shortage", "socket", "connect", "interrupt", "short", "broken":
 			f.probabilities[name], err = strconv.ParseFloat(value, 64)
 		default:
@@ -125,7 +129,11 @@
 		if f.shouldFail("socket") {
 			return -1, f.randomError(unix.ENFILE, unix.ENOBUFS)
 		}
-		return original.socket(family, kind)
+		fd, err := original.socket(family, kind)
+		if err == nil && f.sendBuffer > 0 {
+			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, f.sendBuffer)
+		}
+		return fd, err
 	}
 	system.connect = func(fd int, to unix.Sockaddr) error {
 		if f.shouldFail("connect") {
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -134,8 +134,8 @@
 	unsent    []byte        // encoded request bytes that the socket has not taken yet
 	wholeBody []byte        // a body that is held whole, to be written after unsent
 
-	unsentHeld int // size of the buffer that unsent is a part of; 0 while it is part of the message
-	writtenAt time.Duration // when the request was written completely
+	unsentHeld int           // size of the buffer that unsent is a part of; 0 while it is part of the message
+	writtenAt  time.Duration // when the request was written completely
 
 	bodyProgressAt time.Duration // last time that the host took request bytes, or that there were none to write
 	body           *flow.Pipe    // part of the request body that is not in unsent yet; nil: none
