Count a request's time from when its last byte may have been written

Callers saw: where a host read a long request slowly, or stopped, requests that were written whole were answered 2.4 s after their time or never. Cause: the time of a partial request began when its last byte was read. While its pipe is full the connection is not read, so nothing timed out; and input that waited unread counted as just arrived. Evidence: TestRequestThatHostReadsSlowlyIsAnsweredInTime failed before in all three kinds of host, with a length and in chunks, 300 KB to 3 MB. Change: a connection knows since when its unread input may have been waiting (unreadInput: the last time the socket was known empty, also across a hand-over). The core asks a partial request when it was last known to be incomplete: while the socket's unread bytes show that the client is behind, that is now; else its time runs. RequestComplete tells the module how much of the time is over. Answers that end with their connection are reset on the end of the process until they are whole.

--- a/admission/api.go
+++ b/admission/api.go
@@ -137,7 +137,10 @@
 }
 
 // RequestComplete reports that the body of a partial request has wholly arrived.
-type RequestComplete struct{ ID uint64 }
+type RequestComplete struct {
+	ID     uint64
+	Waited time.Duration // the part of its time that is over, since its last byte was not read at once
+}
 
 // PriorAttempt is an attempt, made for another request with the same key, that may have run.
 type PriorAttempt struct {
--- a/admission/settings_change.go
+++ b/admission/settings_change.go
@@ -1,6 +1,10 @@
 package admission
 
-import "ferryfront.example/ferryfront/admission/estimate"
+import (
+	"time"
+
+	"ferryfront.example/ferryfront/admission/estimate"
+)
 
 // Events that need no decision: new settings, a new fleet, a request that has wholly arrived. Classes and plans
 // keep their indices (see SettingsChanged), a request keeps the class that it came with, and what is known of
@@ -21,20 +25,20 @@
 	case FleetChanged:
 		g.onFleetChanged(ev)
 	case RequestComplete:
-		g.onRequestComplete(ev.ID)
+		g.onRequestComplete(ev.ID, ev.Waited)
 	}
 }
 
 // onRequestComplete restarts the times of a partial request and of its attempts, now that its body has
-// wholly arrived: until then no server had anything to run.
-func (g *Gateway) onRequestComplete(id uint64) {
+// wholly arrived: until then no server had anything to run. The client's time began that much earlier.
+func (g *Gateway) onRequestComplete(id uint64, waited time.Duration) {
 	r := g.requests[id]
 	if r == nil || !r.isPartial {
 		return
 	}
 	r.isPartial = false
 	elapsed := g.now - r.arrivedAt
-	r.arrivedAt, r.due, r.deadline = g.now, r.due+elapsed, r.deadline+elapsed
+	r.arrivedAt, r.due, r.deadline = g.now-waited, r.due+elapsed-waited, r.deadline+elapsed-waited
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.isLive {
 			a.sentAt = g.now
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -25,6 +25,7 @@
 	trace                     Trace
 	timeout                   time.Duration // of a partial request: its deadline is this long after its completion
 	isPartial                 bool          // a part of the request is still to arrive
+	lastIncomplete            func() time.Duration
 	isClosed                  bool
 	isClientLeftPending       bool // abandoned, and the module has not been told by a ClientLeft event
 	isReleased                bool // the request id and the idempotency key are free again
@@ -72,7 +73,9 @@
 	c.openStreams++
 	if r.IsPartial {
 		s.isPartial, s.timeout, s.deadline = true, ev.ExpiresIn, c.now+maxPartialDuration
+		s.lastIncomplete = r.LastIncomplete
 		c.partialStreams++
+		c.timers.Push(c.now+s.timeout, timer{kind: partialTimer, ref: Ref{Stream: s.id}})
 	} else {
 		c.setDeadlineTimers(s)
 	}
@@ -103,15 +106,24 @@
 	c.timers.Push(s.deadline+c.deadlineMargin/2, timer{kind: overdueTimer, ref: Ref{Stream: s.id}})
 }
 
-// RequestCompleted reports that the rest of a partial request has arrived. The stream's deadline, and the timeouts of its
-// pending attempts, are counted from now.
+// completedAt returns a time from which on a partial request may have been complete.
+func (c *Core) completedAt(s *stream) time.Duration {
+	if s.lastIncomplete == nil {
+		return c.now
+	}
+	return max(s.startedAt, min(c.now, s.lastIncomplete()))
+}
+
+// RequestCompleted reports that the rest of a partial request has been read. The stream's deadline, and the timeouts of its
+// pending attempts, are counted from when it may have been written.
 func (c *Core) RequestCompleted(now time.Duration, id uint64) {
 	c.AdvanceClock(now)
 	s := c.streams[id]
 	if s == nil || !s.isPartial || s.isClosed || c.isClosed {
 		return
 	}
-	s.isPartial, s.deadline = false, c.now+s.timeout
+	completedAt := c.completedAt(s)
+	s.isPartial, s.deadline = false, completedAt+s.timeout
 	c.partialStreams--
 	c.setDeadlineTimers(s)
 	for i := range s.attempts {
@@ -124,10 +136,25 @@
 		}
 		a.StartedAt = c.now
 		if a.timeout > 0 && a.timeout < s.timeout {
-			c.timers.Push(c.now+a.timeout, timer{kind: attemptTimer, ref: Ref{s.id, i}})
+			c.timers.Push(completedAt+a.timeout, timer{kind: attemptTimer, ref: Ref{s.id, i}})
 		}
 	}
-	c.events = append(c.events, admission.RequestComplete{ID: id})
+	c.events = append(c.events, admission.RequestComplete{ID: id, Waited: c.now - completedAt})
+}
+
+// checkPartial ends a partial request whose time is over if its last byte was written when it was last known to be
+// incomplete. Its client may be waiting for an answer then, while a host that reads slowly keeps the rest from being read.
+func (c *Core) checkPartial(s *stream) {
+	if due := c.completedAt(s) + s.timeout; due > c.now {
+		c.timers.Push(due, timer{kind: partialTimer, ref: Ref{Stream: s.id}})
+		return
+	}
+	for i := range s.attempts {
+		c.cancelAttempt(Ref{s.id, i}, admission.TimedOut)
+	}
+	if !s.isClosed {
+		c.abandonStream(s, Expired)
+	}
 }
 
 // ClientDisconnected reports that a stream's client has left. The stream is then owed no answer.
--- a/internal/core/turn.go
+++ b/internal/core/turn.go
@@ -17,6 +17,7 @@
 	attemptTimer                       // an upstream request times out
 	deadlineTimer                      // all pending upstream requests of a stream time out
 	overdueTimer                       // a stream that is still open is answered without the module
+	partialTimer                       // a partial request may have been complete for its whole time
 	probeTimer                         // a health probe times out
 	repeatWindowTimer                  // a repeat of an idempotency key that is not fully written is withdrawn
 )
@@ -71,6 +72,9 @@
 		return s != nil && s.attempts[t.ref.Attempt].isPending
 	case deadlineTimer, overdueTimer:
 		return c.streams[t.ref.Stream] != nil
+	case partialTimer:
+		s := c.streams[t.ref.Stream]
+		return s != nil && s.isPartial && !s.isClosed
 	case probeTimer:
 		_, ok := c.probes[t.ref.Stream]
 		return ok
@@ -98,6 +102,10 @@
 			c.upstreams.Cancel(t.ref)
 			c.ProbeEnded(c.now, t.ref, admission.TimedOut)
 		}
+	case partialTimer:
+		if s := c.streams[t.ref.Stream]; s != nil && s.isPartial && !s.isClosed {
+			c.checkPartial(s)
+		}
 	case attemptTimer:
 		c.cancelAttempt(t.ref, admission.TimedOut)
 	case repeatWindowTimer:
--- a/internal/core/types.go
+++ b/internal/core/types.go
@@ -129,7 +129,10 @@
 	Trace                    Trace
 	Payload                  Payload
 	Owner                    Owner
-	IsPartial                bool // a part is still to arrive; ExpiresIn is counted from [Core.RequestCompleted]
+	IsPartial                bool // a part is still to arrive; ExpiresIn is counted from its last byte
+	// LastIncomplete returns, for a partial request, a time at which its last byte had not been written yet, as late a one as
+	// is known. While the request can't be read its last byte may have been written at any time since.
+	LastIncomplete func() time.Duration
 }
 
 // StreamRecord describes an ended stream to the observer.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -89,7 +89,9 @@
 	req := core.Request{RequestArrived: a, RequestID: retain(r, r.Headers.Get("Request-Id")),
 		IdempotencyKey: retain(r, r.Headers.Get("Idempotency-Key")), Owner: o, IsPartial: r.IsStreamed}
 	req.RequestArrived.IsPartial = r.IsStreamed
-	if !r.IsStreamed { // else its time has not begun
+	if r.IsStreamed { // its time has not begun
+		req.LastIncomplete = c.LastIncomplete
+	} else {
 		req.ExpiresIn = max(0, a.ExpiresIn-c.RequestAge())
 	}
 	m := Message(r)
--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -14,12 +14,15 @@
 	pipe      *flow.Pipe
 	rateSince time.Duration // start of the rate measurement; postponed while the pipe is full
 	received  int           // bytes
+
+	lastArrivalAt time.Duration // when the input that was read last may have arrived at the earliest
 }
 
 // startUpload passes a streamed request to the handler, which may send it upstream before its body is complete.
 func (c *Conn) startUpload(req *http1.Request) {
 	u := &bodyUpload{pipe: flow.New(c.server.uploadWindow(), req.ContentLength),
-		rateSince: c.server.loop.Now()}
+		rateSince: c.server.loop.Now(), lastArrivalAt: c.arrivedAt}
+	u.received = len(req.Body)
 	u.pipe.Append(req.Body) // copies it, so the parser's buffer can be released
 	c.parser.ReleaseBodyBuffers()
 	req.Body, req.BodyPipe, c.upload = nil, u.pipe, u
@@ -54,6 +57,7 @@
 	u.pipe.Append(b)
 	c.parser.ReleaseBodyBuffers()
 	if complete {
+		c.arrivedAt = u.lastArrivalAt
 		c.clearUpload()
 		u.pipe.CloseWrite(true)
 		if c.awaitingResponse {
@@ -138,6 +142,7 @@
 	case body.ContentLength >= 0:
 	case c.isHTTP10:
 		r.framing, c.closeAfterResponse = http1.FramedByClose, true
+		c.source.ResetOnClose() // until the response is complete, also if the process is killed
 	default:
 		r.framing = http1.FramedByChunks
 	}
@@ -169,6 +174,9 @@
 		if r.framing == http1.FramedByChunks && !c.write(http1.AppendLastChunk(nil)) {
 			return
 		}
+		if r.framing == http1.FramedByClose {
+			c.source.EndOnClose()
+		}
 		c.awaitingResponse = false
 		r.done(true)
 		c.finishResponse()
@@ -212,11 +220,8 @@
 }
 
 // abortRelay closes a connection whose response can't be completed. If the end of the connection would mark the end of
-// the response, the connection is reset instead.
+// the response, the connection is reset; see Relay.
 func (c *Conn) abortRelay() {
-	if c.relay.framing == http1.FramedByClose {
-		c.source.ResetOnClose()
-	}
 	done := c.relay.done
 	c.close(closedRelayAborted)
 	done(false)
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -144,6 +144,7 @@
 	lastReadAt time.Duration // last time that bytes were received, or that the connection became idle
 
 	arrivals arrivals // arrival times of the buffered input
+	unread   unreadInput
 
 	wasServed      bool // has had a response other than a client error; 429 counts as served
 	discardedBytes int  // input bytes discarded while lingering
--- a/internal/net/downstream/handover.go
+++ b/internal/net/downstream/handover.go
@@ -19,7 +19,7 @@
 	PhaseSince, OpenedAt time.Duration            // loop times at which the phase began and the connection was accepted
 	WasServed            bool                     // has had a response other than a client error; 429 counts as served
 	Parser               http1.RequestParserState // buffered input and parser state
-	Arrivals             []Arrival                // of the buffered input; missing if the predecessor does not tell
+	Arrivals             []Arrival                // of the buffered input and the byte behind it; missing if the predecessor does not tell
 }
 
 // ListenerAddresses returns the addresses of the listeners, in the order in which they were opened.
@@ -158,7 +158,7 @@
 	}
 	st := ConnState{ListenerAddress: c.listener.address, Unsent: c.unsent, PhaseSince: c.phaseSince,
 		OpenedAt: c.openedAt, WasServed: c.wasServed, Parser: c.parser.State(),
-		Arrivals: c.arrivals.ofBuffered(c.parser.Buffered())}
+		Arrivals: append(c.arrivals.ofBuffered(c.parser.Buffered()), c.unreadArrival())}
 	fd := c.source.Detach()
 	c.removeFromList()
 	c.memory.Set(0)
@@ -166,6 +166,20 @@
 	c.server.receiver.Receive(st, fd)
 }
 
+// unreadArrival returns the record of the first byte behind the buffered input. Its time is the earliest at which that may
+// have arrived.
+func (c *Conn) unreadArrival() Arrival {
+	return Arrival{End: int64(c.parser.Buffered()) + 1, At: c.unread.since(c.server.loop.Now())}
+}
+
+// unreadSince returns the time of the record made by unreadArrival, or now if the predecessor does not tell.
+func unreadSince(records []Arrival, buffered int, now time.Duration) time.Duration {
+	if last := len(records) - 1; last >= 0 && records[last].End == int64(buffered)+1 {
+		return min(now, records[last].At)
+	}
+	return now
+}
+
 // AdoptListener adds a listener on a socket that is already listening. It fails if the socket can't be polled.
 func (s *Server) AdoptListener(fd int, address string, h Handler) error {
 	return s.addListener(fd, address, h)
@@ -184,6 +198,7 @@
 	c := &Conn{server: s, parser: parser, unsent: st.Unsent, unsentHeld: cap(st.Unsent), phaseSince: st.PhaseSince,
 		openedAt: st.OpenedAt, lastReadAt: s.loop.Now(), wasServed: st.WasServed,
 		arrivals: restoreArrivals(st.Arrivals, len(st.Parser.Buffered))}
+	c.unread.emptyAt = unreadSince(st.Arrivals, len(st.Parser.Buffered), s.loop.Now())
 	c.recordWrite(0)
 	if err := s.register(c, fd); err != nil {
 		return err
--- a/internal/net/downstream/listener.go
+++ b/internal/net/downstream/listener.go
@@ -120,7 +120,7 @@
 	s, now := ln.server, ln.server.loop.Now()
 	c := &Conn{server: s, listener: ln,
 		parser:     http1.NewRequestParser(s.bounds.MaxHeaderBytes, s.bounds.MaxBodyBytes, s.bounds.MaxBufferedBodyBytes),
-		phaseSince: now, openedAt: now, lastReadAt: now}
+		phaseSince: now, openedAt: now, lastReadAt: now, unread: unreadInput{emptyAt: now, isDrained: true}}
 	if err := s.register(c, fd); err != nil {
 		return err
 	}
--- a/internal/net/downstream/memory.go
+++ b/internal/net/downstream/memory.go
@@ -82,7 +82,7 @@
 		case len(rest) == 0 && !c.lacksMemory():
 			c.memoryWaitSince = 0
 			c.reserveMemory()
-			c.readDelayed(s.loop.Now() - since)
+			c.read()
 		case s.loop.Now()-since > s.bounds.MemoryWaitTimeout:
 			c.memoryWaitSince = 0
 			c.rejectRequest(statusNoMemory, "no memory for the request")
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -50,10 +50,13 @@
 		c.disconnect(closeReason(err.Error()))
 		return false, false
 	}
+	now := c.server.loop.Now()
+	arrivedAt := c.unread.since(now) - delay
+	c.unread.noteRead(now, n < min(len(buf), limit))
 	if n == 0 {
 		return false, true
 	}
-	c.lastReadAt = c.server.loop.Now()
+	c.lastReadAt = now
 	if !c.awaitingResponse && !c.parser.HasMessageStarted() {
 		c.phaseSince = c.lastReadAt
 	}
@@ -62,10 +65,11 @@
 		bodyBytes = c.parser.TakeRawBody(buf[:n])
 		c.upload.received += bodyBytes
 		c.upload.pipe.Append(buf[:bodyBytes])
+		c.upload.lastArrivalAt = arrivedAt
 	}
 	if bodyBytes < n && !c.discardOverflow(n-bodyBytes) {
 		c.parser.Feed(buf[bodyBytes:n])
-		c.arrivals.add(n-bodyBytes, c.lastReadAt-delay)
+		c.arrivals.add(n-bodyBytes, arrivedAt)
 	}
 	return true, true
 }
@@ -157,6 +161,7 @@
 	if c.hasUnwritten() {
 		events |= loop.Out
 	}
+	c.unread.notePolled(c.server.loop.Now(), events&loop.In != 0, c.source.FD())
 	c.source.SetEvents(events)
 }
 
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -224,7 +224,8 @@
 	s.fd = -1
 }
 
-// ResetOnClose makes a following Close reset the TCP connection, so that the peer does not take it for an orderly end.
+// ResetOnClose makes a following Close, or the end of the process, reset the TCP connection, so that the peer does not take
+// it for an orderly end.
 // If the socket option can't be set, the close is an ordinary one.
 func (s *Source) ResetOnClose() {
 	if s.fd >= 0 {
@@ -232,6 +233,13 @@
 	}
 }
 
+// EndOnClose undoes ResetOnClose.
+func (s *Source) EndOnClose() {
+	if s.fd >= 0 {
+		_ = unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{})
+	}
+}
+
 // Detach stops watching a descriptor and returns it, still open, to the caller, who owns it from then on. It returns -1
 // for a nil or closed source. The descriptor is removed from epoll explicitly: closing it would remove it only if no
 // other process held it.
--- a/internal/net/loop/socket.go
+++ b/internal/net/loop/socket.go
@@ -174,6 +174,12 @@
 	return "", errors.New("the socket has no IP address")
 }
 
+// UnreadBytes returns how many received bytes of a socket are unread. ok is false if the system does not tell.
+func UnreadBytes(fd int) (n int, ok bool) {
+	n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+	return n, err == nil
+}
+
 // Duplicate returns a new descriptor of the same socket, closed on exec.
 func Duplicate(fd int) (int, error) { return unix.FcntlInt(uintptr(fd), unix.F_DUPFD_CLOEXEC, 0) }
 
