Planned end: go on relaying answers that have begun until they end or the process is killed

Callers saw: long answers that a host was still writing were cut off 1.15 s after SIGTERM where the longest deadline is 0.5 s (3.65 s where it is 3 s). Cause: the forced end stopped the process whatever was being relayed, before the platform would kill it. Evidence: TestSlowlyWrittenAnswerIsNotCutOff failed before with a length, in chunks and to the end of the connection. Change: after the last answers the process stays while a response is being relayed, 10 s at the most. Streams are answered and late requests refused as before.

--- a/internal/daemon/replacement.go
+++ b/internal/daemon/replacement.go
@@ -113,17 +113,29 @@
 	d.loop.Stop()
 }
 
-// scheduleForcedEnd schedules the end of what is still open DrainTimeout from now: streams expire, and connections
-// whose relayed response ends with the connection are reset, so that it doesn't look complete. The process ends
-// DrainFlushPeriod later, when the answers have had time to be sent. A request that is read until then is answered at
-// once, since an upstream host's answer would come too late.
+// scheduleForcedEnd schedules the end of what is still open DrainTimeout from now: streams expire, and a request that is
+// read later is answered at once, since an upstream host's answer would come too late. The process ends DrainFlushPeriod
+// later, when the answers have had time to be sent, or once the responses that are being relayed have ended: their hosts
+// may still be writing, and whoever wants an earlier end kills the process.
 func (d *Daemon) scheduleForcedEnd() {
 	d.loop.After(d.cfg.Limits.DrainTimeout, func() {
 		if open := d.core.OpenStreams(); open > 0 {
 			d.log.Warn("drain cut short", "streams", open)
 		}
 		d.core.Close(d.loop.Now())
-		d.server.AbortCloseDelimitedRelays()
-		d.loop.After(d.cfg.Limits.DrainFlushPeriod, d.loop.Stop)
+		endAt := d.loop.Now() + d.cfg.Limits.DrainRelayTimeout
+		d.loop.After(d.cfg.Limits.DrainFlushPeriod, func() { d.endAfterRelays(endAt) })
 	})
 }
+
+// relayPollInterval is the time between two checks whether relayed responses have ended.
+const relayPollInterval = 10 * time.Millisecond
+
+// endAfterRelays ends the process once no response is being relayed, at the latest at the given time.
+func (d *Daemon) endAfterRelays(endAt time.Duration) {
+	if d.server.ActiveRelays() == 0 || d.loop.Now() >= endAt {
+		d.loop.Stop()
+		return
+	}
+	d.loop.After(relayPollInterval, func() { d.endAfterRelays(endAt) })
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -129,6 +129,9 @@
 	// DrainFlushPeriod is the time to send those last answers.
 	DrainFlushPeriod time.Duration
 
+	// DrainRelayTimeout is how much longer the daemon relays responses that had begun, unless it is killed.
+	DrainRelayTimeout time.Duration
+
 	// Limits of an upgrade, by phase; see package phase.
 
 	// HelloTimeout bounds the time until the new process has started and sends its first message.
@@ -317,6 +320,7 @@
 		DrainAcceptPeriod: 700 * time.Millisecond,
 		DrainTimeout:      site.LongestDeadline + 600*time.Millisecond, // the platform kills 100 ms later at the earliest
 		DrainFlushPeriod:  50 * time.Millisecond,
+		DrainRelayTimeout: 10 * time.Second,
 
 		HelloTimeout:            2 * time.Second,
 		PrepareTimeout:          4 * time.Second,
--- a/internal/net/downstream/close.go
+++ b/internal/net/downstream/close.go
@@ -6,7 +6,6 @@
 	"math"
 	"time"
 
-	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
 )
 
@@ -128,13 +127,3 @@
 		ln.accept(math.MaxInt)
 	}
 }
-
-// AbortCloseDelimitedRelays resets the connections whose relayed response is delimited by the end of the connection.
-// It is for the exit of the process, which would otherwise make those incomplete responses look complete.
-func (s *Server) AbortCloseDelimitedRelays() {
-	for c := range s.conns {
-		if c.relay != nil && c.relay.framing == http1.FramedByClose {
-			c.abortRelay()
-		}
-	}
-}
