--- a/cmd/ferryfront/slow_transfer_test.go
+++ b/cmd/ferryfront/slow_transfer_test.go
@@ -132,6 +132,8 @@
 					head := strings.Replace(crowdHead("POST", path, "order", id, header), "2500m",
 						strconv.Itoa(int(timeout.Milliseconds()))+"m", 1)
 					written, answered, status := env.uploadWhole(head, text)
+					t.Logf("%s, %s, %d bytes: written whole: %v, answered after %v with %d", name, form, size, !written.IsZero(),
+						answered.Sub(written), status)
 					switch late := answered.Sub(written) - timeout; {
 					case written.IsZero(): // its time has not begun
 					case answered.IsZero() || late > finalAnswerSlack:
