Remember the ids of writes that may have run for a client that left

Callers saw: a write without a key whose client left while it ran, and came again with the same id, ran twice: at the same process, at the new process of an upgrade, and at the old one when the new one died. Cause: an id was known only as long as its stream. It was free again with the end of the stream, and the other process of an upgrade never learnt that the request may have run.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -40,6 +40,7 @@
 			c.idempotencyKeys.notifySent(s.idempotencyKey)
 		}
 	}
+	c.notifyRanRequest(s)
 	timeout := s.deadline - c.now
 	c.logAttemptStarted(s, ref, action.Server, timeout)
 	if s.isPartial {
@@ -51,6 +52,21 @@
 	c.upstreams.Start(ref, action.Server, s.payload, timeout)
 }
 
+// notifyRanRequest informs the observer of keys, if there is one, of a write without a key that is about to be sent.
+func (c *Core) notifyRanRequest(s *stream) {
+	if observer := c.idempotencyKeys.observer; observer != nil && s.isWrite && s.idempotencyKey == "" && s.requestID != "" {
+		observer.KeySent(ranState(s.requestID, c.now+ranRequestMemory))
+	}
+}
+
+// notifyRanRequestEnded informs the observer of keys, if there is one, of a write without a key that has not run.
+func (c *Core) notifyRanRequestEnded(s *stream, outcome admission.Outcome) {
+	observer := c.idempotencyKeys.observer
+	if observer != nil && s.isWrite && s.idempotencyKey == "" && s.requestID != "" && !s.mayHaveRun && neverRan(outcome) {
+		observer.KeyNotRun(ranState(s.requestID, c.now+ranRequestMemory))
+	}
+}
+
 // UpstreamEnded reports the outcome of an upstream request. The first with the outcome OK answers the stream. The outcome
 // of a request that is no longer pending is ignored. Answers that are not used are discarded.
 func (c *Core) UpstreamEnded(now time.Duration, ref Ref, outcome admission.Outcome, answer Answer) {
@@ -65,6 +81,8 @@
 	c.logAttemptEnded(s, ref, a.Host, outcome, a.Took)
 	s.pendingAttempts--
 	s.hasTimedOut = outcome == admission.TimedOut
+	s.mayHaveRun = s.mayHaveRun || !neverRan(outcome)
+	c.notifyRanRequestEnded(s, outcome)
 	if outcome == admission.OK && !s.isClosed {
 		c.closeStream(s, End{Kind: Served, Answer: answer})
 	} else {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -46,6 +46,7 @@
 	isClosed         bool      // no upstream request is made any more; see Close
 	lateStreams      []*stream // started since the last turn, after Close
 	idempotencyKeys  keyTable
+	ranRequests      ranTable
 
 	isDebugEnabled       bool
 	endReason            admission.Reason // of the end that the module has just ordered, for the debug log
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -34,12 +34,20 @@
 // SuccessorKeySent records that the successor is sending a request with a key to a host, in case it dies and this process
 // serves again.
 func (c *Core) SuccessorKeySent(k KeyState) {
+	if id, ok := ranRequestID(k); ok {
+		c.ranRequests.rememberUntil(id, k.ExpiresAt)
+		return
+	}
 	c.idempotencyKeys.removeExpired(k.StartedAt) // no request arrives here meanwhile, which would remove them
 	c.idempotencyKeys.recordForeignAttempt(k)
 }
 
 // SuccessorKeyNotRun records that the attempt which the successor had recorded has not run.
 func (c *Core) SuccessorKeyNotRun(k KeyState) {
+	if id, ok := ranRequestID(k); ok {
+		c.ranRequests.forget(id)
+		return
+	}
 	c.idempotencyKeys.clearAttempt(k.Key, k.Host, k.StartedAt)
 	c.idempotencyKeys.release(k.Key, 0)
 }
@@ -55,6 +63,7 @@
 type StreamState struct {
 	ID                        uint64
 	RequestID, IdempotencyKey string
+	MayHaveRun                bool // by the messages of its process about ended attempts; not in a snapshot
 }
 
 // KeyState is the state of an idempotency key.
@@ -71,7 +80,7 @@
 	c.handoverObserver, c.defersCounterCalls = observer, true
 	snapshot := Snapshot{LastID: c.lastID}
 	for _, s := range c.streams {
-		snapshot.Streams = append(snapshot.Streams, StreamState{s.id, s.requestID, s.idempotencyKey})
+		snapshot.Streams = append(snapshot.Streams, StreamState{ID: s.id, RequestID: s.requestID, IdempotencyKey: s.idempotencyKey})
 	}
 	slices.SortFunc(snapshot.Streams, func(a, b StreamState) int { return cmp.Compare(a.ID, b.ID) })
 	for key, entry := range c.idempotencyKeys.entries {
@@ -79,6 +88,7 @@
 			snapshot.Keys = append(snapshot.Keys, entry.state(key))
 		}
 	}
+	snapshot.Keys = append(snapshot.Keys, c.ranRequests.states()...)
 	slices.SortFunc(snapshot.Keys, func(a, b KeyState) int { return cmp.Compare(a.Key, b.Key) })
 	return snapshot
 }
@@ -115,6 +125,10 @@
 		}
 	}
 	for _, k := range snapshot.Keys {
+		if id, ok := ranRequestID(k); ok {
+			c.ranRequests.rememberUntil(id, k.ExpiresAt)
+			continue
+		}
 		c.idempotencyKeys.entries[k.Key] = &keyEntry{streamID: k.StreamID, mayHaveRun: k.ExpiresAt > 0,
 			host: k.Host, location: location{k.Zone, k.Cell}, startedAt: k.StartedAt, expiresAt: k.ExpiresAt}
 		if k.StreamID == 0 {
@@ -136,13 +150,19 @@
 
 // PredecessorAttemptEnded reports that an attempt which the predecessor started at startedAt has ended.
 func (c *Core) PredecessorAttemptEnded(id uint64, host string, startedAt time.Duration, outcome admission.Outcome) {
-	if s, ok := c.predecessorStreams[id]; ok && s.IdempotencyKey != "" && neverRan(outcome) {
+	s, ok := c.predecessorStreams[id]
+	switch {
+	case !ok:
+	case !neverRan(outcome):
+		s.MayHaveRun = true
+		c.predecessorStreams[id] = s
+	case s.IdempotencyKey != "":
 		c.idempotencyKeys.clearAttempt(s.IdempotencyKey, host, startedAt)
 	}
 }
 
 // PredecessorStreamDone reports that a stream of the predecessor has finished. Its request id and idempotency key are
-// free again.
+// free again, the id not before it is forgotten if the request may have run: its client may have left.
 func (c *Core) PredecessorStreamDone(id uint64) {
 	s, ok := c.predecessorStreams[id]
 	if !ok {
@@ -150,12 +170,18 @@
 	}
 	delete(c.predecessorStreams, id)
 	delete(c.requestIDs, s.RequestID)
+	if s.MayHaveRun {
+		c.ranRequests.remember(s.RequestID, c.now)
+	}
 	c.idempotencyKeys.release(s.IdempotencyKey, id)
 }
 
-// PredecessorExited reports that the predecessor's process has exited, and with it all its streams.
+// PredecessorExited reports that the predecessor's process has exited, and with it all its streams, whose requests may have
+// run.
 func (c *Core) PredecessorExited() {
-	for id := range c.predecessorStreams {
+	for id, s := range c.predecessorStreams {
+		s.MayHaveRun = true
+		c.predecessorStreams[id] = s
 		c.PredecessorStreamDone(id)
 	}
 }
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -21,6 +21,9 @@
 	class, plan               int
 	customer                  uint64
 	isRetry                   bool
+	isWrite                   bool // it must not run twice under one request id
+	mayHaveRun                bool // an attempt that has ended may have run
+	hasClientLeft             bool
 	repeatWindow              time.Duration // of its idempotency key, by the settings at its start; see keyTable
 	trace                     Trace
 	timeout                   time.Duration // of a partial request: its deadline is this long after its completion
@@ -36,7 +39,7 @@
 
 // StartStream opens a stream and returns its id. It returns 0 and opens none if a stream with the same request id or
 // idempotency key is open or has pending upstream requests: upstream hosts would take one request for a copy of the
-// other.
+// other. The same holds if a write with the same request id may have run and its client left before it was answered.
 func (c *Core) StartStream(now time.Duration, r Request) uint64 {
 	c.AdvanceClock(now)
 	window := c.idempotencyKeys.repeatWindow(r.Class)
@@ -50,6 +53,11 @@
 		c.countEnd(r.Class, Failed) // the front answers with an error
 		return 0
 	}
+	if c.ranRequests.mayHaveRun(r.RequestID, c.now) {
+		c.logRequestRejected(r, "a request with this Request-Id may have run for a client that left")
+		c.countEnd(r.Class, Failed)
+		return 0
+	}
 	if r.RequestID != "" {
 		if _, isOpen := c.requestIDs[r.RequestID]; isOpen {
 			c.logRequestRejected(r, "a request with this Request-Id is open")
@@ -68,7 +76,7 @@
 	}
 	s := &stream{id: ev.ID, requestID: r.RequestID, idempotencyKey: r.IdempotencyKey, payload: r.Payload,
 		owner: r.Owner, startedAt: c.now, deadline: c.now + ev.ExpiresIn, class: ev.Class, plan: ev.Plan,
-		customer: ev.Customer, isRetry: ev.IsRetry, repeatWindow: window, trace: r.Trace}
+		customer: ev.Customer, isRetry: ev.IsRetry, isWrite: ev.IsWrite, repeatWindow: window, trace: r.Trace}
 	c.streams[s.id] = s
 	c.openStreams++
 	if r.IsPartial {
@@ -163,7 +171,7 @@
 	switch s := c.streams[id]; {
 	case s == nil || s.isClosed:
 	case c.isClosed: // the module does not know a stream that has started after Close
-		s.owner = nil
+		s.owner, s.hasClientLeft = nil, true
 		c.closeStream(s, End{Kind: ClientLeft})
 	default:
 		s.owner = nil
@@ -205,6 +213,7 @@
 // that are written.
 func (c *Core) abandonStream(s *stream, kind EndKind) {
 	s.isClientLeftPending = true
+	s.hasClientLeft = s.hasClientLeft || kind == ClientLeft
 	c.abandonedStreams = append(c.abandonedStreams, s)
 	c.closeStream(s, End{Kind: kind})
 	c.events = append(c.events, admission.ClientLeft{ID: s.id})
@@ -274,6 +283,9 @@
 	releasePayload(s.payload)
 	s.isReleased, s.payload = true, nil
 	delete(c.requestIDs, s.requestID)
+	if s.isWrite && s.mayHaveRun && (s.hasClientLeft || s.idempotencyKey == "") {
+		c.ranRequests.remember(s.requestID, c.now)
+	}
 	if s.idempotencyKey != "" {
 		c.idempotencyKeys.release(s.idempotencyKey, s.id)
 	}
