A client that has closed its side is gone, whatever of its input is unread

Callers saw: requests of a client that had closed its connection were sent on afterwards (reported by other operators). From reading: the end of a client's stream was noticed only when all input before it had been read, 16 KiB a turn; the last byte of a long body went to its host before the end behind it was seen; and the next pipelined request began in the turn in which the response before it was written, before the reset of a client that had gone could come. Change: a hangup of the read side ends the connection at once; the socket is looked at behind a long body before its last byte is passed on; and while unread input may hide the end, the next request waits for the next turn.

--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -53,6 +53,10 @@
 		c.rejectUnparsable(err)
 		return
 	}
+	if complete && c.parser.Buffered() == 0 && loop.IsAtEnd(c.source.FD()) { // the client has left; see endsBehindBody
+		c.disconnect(closedByClient)
+		return
+	}
 	u.received += len(b)
 	u.pipe.Append(b)
 	c.parser.ReleaseBodyBuffers()
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -208,7 +208,8 @@
 	}
 }
 
-// Ready handles the connection's readiness events: it writes, reads, or detects that the client has disconnected.
+// Ready handles the connection's readiness events: it writes, reads, or detects that the client has disconnected. A client
+// that has closed its sending side counts as gone, whatever of its input is unread.
 func (c *Conn) Ready(events uint32) {
 	if events&loop.Out != 0 && !c.flush() {
 		return
@@ -222,6 +223,8 @@
 		c.disconnect(closedReset)
 	case events&loop.ReadHangup != 0 && c.isUploadBlocked():
 		c.closeBlockedUpload()
+	case events&loop.ReadHangup != 0:
+		c.disconnect(closedByClient)
 	case c.server.suspended && !c.awaitingResponse: // the process that continues the connection reads its input
 	case events&(loop.In|loop.Hangup) != 0:
 		c.read()
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -63,6 +63,10 @@
 	bodyBytes := 0
 	if c.upload != nil {
 		bodyBytes = c.parser.TakeRawBody(buf[:n])
+		if c.endsBehindBody(bodyBytes, n) {
+			c.disconnect(closedByClient)
+			return false, false
+		}
 		c.upload.received += bodyBytes
 		c.upload.pipe.Append(buf[:bodyBytes])
 		c.upload.lastArrivalAt = arrivedAt
@@ -74,6 +78,13 @@
 	return true, true
 }
 
+// endsBehindBody reports whether the given bytes of the n that were read complete the request body and the client has
+// closed its side behind it. A host must not get the last byte of a request whose client has left: it would run.
+func (c *Conn) endsBehindBody(bodyBytes, n int) bool {
+	length := c.upload.pipe.ContentLength
+	return length >= 0 && int64(c.upload.received+bodyBytes) == length && bodyBytes == n && loop.IsAtEnd(c.source.FD())
+}
+
 // parseRequests passes the next buffered request to the handler, and further ones as long as each is answered at once and
 // the client takes the answers. It passes on at most MaxPipelinedPerTurn in a turn, however often it is called.
 func (c *Conn) parseRequests() {
@@ -84,7 +95,7 @@
 	defer func() { c.parsing = false }()
 	for n := 0; c.canParse(); n++ {
 		if n == c.server.bounds.MaxPipelinedPerTurn { // other connections get their turn first
-			c.parseTimer = c.server.loop.After(time.Microsecond, c.continueParsing)
+			c.parseNextTurn()
 			break
 		}
 		req, err := c.parser.Next()
@@ -122,6 +133,14 @@
 	return !c.awaitingResponse && !c.lingering && !c.server.suspended && c.source.FD() >= 0 && len(c.unsent) == 0
 }
 
+// parseNextTurn has the buffered requests passed on in the next turn: others get their turn first, and a client that has
+// left resets its connection when it gets a response, if the end of its stream is hidden behind unread input.
+func (c *Conn) parseNextTurn() {
+	if c.parseTimer == nil {
+		c.parseTimer = c.server.loop.After(time.Microsecond, c.continueParsing)
+	}
+}
+
 // continueParsing goes on with the requests that were left for a later turn.
 func (c *Conn) continueParsing() {
 	c.parseTimer = nil
--- a/internal/net/downstream/response.go
+++ b/internal/net/downstream/response.go
@@ -53,6 +53,8 @@
 		c.updateEvents()
 	case c.server.listenersClosed: // the response may have begun before the drain, without announcing the end
 		c.closeIfIdle(closedDraining)
+	case c.parser.Buffered() > 0 && !c.unread.isDrained && !c.parsing:
+		c.parseNextTurn()
 	case c.parser.Buffered() > 0:
 		c.parseRequests()
 	}
--- a/internal/net/downstream/trace.go
+++ b/internal/net/downstream/trace.go
@@ -10,6 +10,7 @@
 	closedLingerTimeout closeReason = "client did not close its side in time"
 	closedNoProgress    closeReason = "client does not read its response"
 	closedIdle          closeReason = "idle timeout"
+	closedByClient      closeReason = "closed by the client"
 	closedReset         closeReason = "reset by the client"
 	closedAfterResponse closeReason = "last response sent"
 	closedAfterLinger   closeReason = "closed by the client, or too much input, after the last response"
--- a/internal/net/loop/socket.go
+++ b/internal/net/loop/socket.go
@@ -174,6 +174,13 @@
 	return "", errors.New("the socket has no IP address")
 }
 
+// IsAtEnd reports whether the peer has closed its sending direction and all that it sent before has been read.
+func IsAtEnd(fd int) bool {
+	var b [1]byte
+	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == nil && n == 0
+}
+
 // UnreadBytes returns how many received bytes of a socket are unread. ok is false if the system does not tell.
 func UnreadBytes(fd int) (n int, ok bool) {
 	n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
