Membership: an ack of another member is not that of the pinged one

Seen: a member that had gone counted as alive while another one answered at its address. Cause: acks were matched by their sequence number alone. Evidence: TestAckOfAnotherMemberIsNotTheTargets failed before (the gone member stayed alive for 3 s). Change: a direct ack counts only if it is of the pinged member, and a relay forwards only its target's. Measured: the test passes.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -53,9 +53,9 @@
 			return
 		}
 		seq := n.ping(msg.Target, now)
-		n.relays[seq] = relay{requester: msg.From, seq: msg.Seq, expiresAt: now + relayLifetimePeriods*n.cfg.ProbePeriod}
+		n.relays[seq] = relay{requester: msg.From, target: msg.Target, seq: msg.Seq, expiresAt: now + relayLifetimePeriods*n.cfg.ProbePeriod}
 	case Ack:
-		n.handleAck(now, msg.Seq)
+		n.handleAck(now, msg.From, msg.Seq)
 	}
 }
 
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -41,6 +41,7 @@
 // relay is a ping that another member requested by a PingReq.
 type relay struct {
 	requester string
+	target    string
 	seq       uint64 // of the PingReq
 	expiresAt time.Duration
 }
@@ -80,20 +81,21 @@
 }
 
 // handleAck matches an ack by its sequence number to this node's recent pings, the probe in progress and the relays. An ack
-// that matches none is ignored.
-func (n *Node) handleAck(now time.Duration, seq uint64) {
+// that matches none is ignored, and so is a direct one of another member than the one that was pinged: that has come up at
+// the address of the other.
+func (n *Node) handleAck(now time.Duration, from string, seq uint64) {
 	for _, p := range n.recentPings {
 		if p.seq == seq {
 			n.observeRTT(now - p.sentAt)
 		}
 	}
-	if p := n.probe; p != nil && seq == p.seq {
+	if p := n.probe; p != nil && seq == p.seq && (from == p.target || p.isIndirect) {
 		n.lastHeard[p.target] = max(now, 1) // from the target or forwarded by another member; 0 means never heard
 		if n.probe = nil; !p.isIndirect {
 			n.missRate -= missRateWeight * n.missRate
 		}
 	}
-	if r, ok := n.relays[seq]; ok {
+	if r, ok := n.relays[seq]; ok && from == r.target {
 		delete(n.relays, seq)
 		n.send(r.requester, Message{Kind: Ack, Seq: r.seq})
 	}
--- a/internal/membership/swim_test.go
+++ b/internal/membership/swim_test.go
@@ -372,3 +372,21 @@
 	s.run(time.Second)
 	require.Equal(t, 3, s.nodes["n1"].View().Count(Alive))
 }
+
+// Another member comes up at the address of one that has gone, and acks what is sent there. The gone member must become a
+// suspect all the same.
+func TestAckOfAnotherMemberIsNotTheTargets(t *testing.T) {
+	n := New(Config{Name: "a", Incarnation: 1, ProbePeriod: 300 * time.Millisecond, AckTimeout: 100 * time.Millisecond,
+		SuspicionTimeout: time.Second, IndirectProbes: 2}, 0)
+	n.Handle(0, Received{Message{Kind: Ping, From: "b", Seq: 1, Updates: []Update{{Name: "b", Incarnation: 1, State: Alive}}}})
+	for now := time.Duration(0); now < 3*time.Second; now += 10 * time.Millisecond {
+		for _, s := range append([]Send(nil), n.Handle(now, Tick{})...) {
+			if s.Msg.Kind == Ping && s.To == "b" {
+				n.Handle(now, Received{Message{Kind: Ack, From: "c", Seq: s.Msg.Seq}})
+			}
+		}
+	}
+	b, known := n.members.get("b")
+	require.True(t, known)
+	require.NotEqual(t, Alive, b.State)
+}
