Control replicas: refuse responses of another replica than the called one

Found by reading, not shown on processes: a replica that comes up at the address of one that has gone would have confirmed terms and voted in its name, since calls go by address. Responses carry the id of the replica that sends them; one with another id is an error now. Measured: TestResponseOfAnotherReplicaIsRefused.

--- a/internal/controlserver/transport.go
+++ b/internal/controlserver/transport.go
@@ -1,6 +1,7 @@
 package controlserver
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -132,7 +133,10 @@
 	if t.gate.refuses(position{request.LastLogTerm, request.LastLogIndex}) {
 		return errNotCaughtUp
 	}
-	return t.NetworkTransport.RequestVote(id, target, request, response)
+	if err := t.NetworkTransport.RequestVote(id, target, request, response); err != nil {
+		return err
+	}
+	return checkReplica(id, response.RPCHeader)
 }
 
 // RequestPreVote implements raft.WithPreVote.
@@ -141,7 +145,22 @@
 	if t.gate.refuses(position{request.LastLogTerm, request.LastLogIndex}) {
 		return errNotCaughtUp
 	}
-	return t.NetworkTransport.RequestPreVote(id, target, request, response)
+	if err := t.NetworkTransport.RequestPreVote(id, target, request, response); err != nil {
+		return err
+	}
+	return checkReplica(id, response.RPCHeader)
+}
+
+// errOtherReplica is the error of a call that another replica has answered than the one that was called.
+var errOtherReplica = errors.New("another replica has answered at this address")
+
+// checkReplica returns an error if a response is of another replica than the called one, which has come up at its address.
+// Its vote or confirmation must not count twice. A response without an id is of an earlier version of the protocol.
+func checkReplica(id raft.ServerID, header raft.RPCHeader) error {
+	if len(header.ID) > 0 && raft.ServerID(header.ID) != id {
+		return fmt.Errorf("%w: %s instead of %s", errOtherReplica, header.ID, id)
+	}
+	return nil
 }
 
 // AppendEntries implements raft.Transport.
@@ -151,6 +170,9 @@
 	if err := t.NetworkTransport.AppendEntries(id, target, request, response); err != nil {
 		return err
 	}
+	if err := checkReplica(id, response.RPCHeader); err != nil {
+		return err
+	}
 	if response.Success && response.Term == request.Term {
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- a/internal/controlserver/transport_test.go
+++ b/internal/controlserver/transport_test.go
@@ -47,3 +47,10 @@
 	require.True(t, g.passed())
 	require.False(t, g.refuses(position{}))
 }
+
+// Another replica comes up at the address of one that has gone. Its votes and confirmations don't count for that one.
+func TestResponseOfAnotherReplicaIsRefused(t *testing.T) {
+	require.NoError(t, checkReplica("a", raft.RPCHeader{ID: []byte("a")}))
+	require.NoError(t, checkReplica("a", raft.RPCHeader{}), "an earlier version of the protocol")
+	require.ErrorIs(t, checkReplica("a", raft.RPCHeader{ID: []byte("b")}), errOtherReplica)
+}
