Upstream connections: move what rests when its host restarts, adopt none to another address

Cause: a restart closed idle connections only, and adopted ones were taken to lead to the host's present address. Evidence: TestHostRestartsWhileRequestRests and TestAdoptConnectionOfMovedOrRestartedHost failed before. Change: resting requests move to another connection; an adopted connection is closed if its peer is not the host's address or the host has started since. Measured: both pass.

--- a/internal/net/loop/socket.go
+++ b/internal/net/loop/socket.go
@@ -165,6 +165,21 @@
 	if err != nil {
 		return "", err
 	}
+	return formatAddress(sockaddr)
+}
+
+// RemoteAddress returns the ip:port that a socket is connected to, empty if it is not connected.
+func RemoteAddress(fd int) string {
+	sockaddr, err := unix.Getpeername(fd)
+	if err != nil {
+		return ""
+	}
+	address, _ := formatAddress(sockaddr)
+	return address
+}
+
+// formatAddress returns the ip:port of a socket address.
+func formatAddress(sockaddr unix.Sockaddr) (string, error) {
 	switch sockaddr := sockaddr.(type) {
 	case *unix.SockaddrInet4:
 		return netip.AddrPortFrom(netip.AddrFrom4(sockaddr.Addr), uint16(sockaddr.Port)).String(), nil
--- a/internal/net/upstream/handover.go
+++ b/internal/net/upstream/handover.go
@@ -47,12 +47,12 @@
 }
 
 // AdoptConnection continues an idle connection of the predecessor process. It closes the connection without an error if
-// the host is unknown or leaving, or at the connection limit. It closes the descriptor and fails if the socket can't be
+// the host is unknown or leaving, has moved or restarted since, or at the connection limit. It closes the descriptor and fails if the socket can't be
 // polled.
 func (p *Pool) AdoptConnection(name string, since time.Duration, fd int) error {
 	p.predecessorConns = max(0, p.predecessorConns-1)
 	h := p.hosts[name]
-	if h == nil || h.leaving || p.isFull() {
+	if h == nil || h.leaving || p.isFull() || h.bootTime > since || loop.RemoteAddress(fd) != h.address {
 		loop.CloseFD(fd)
 		return nil
 	}
--- a/internal/net/upstream/hosts.go
+++ b/internal/net/upstream/hosts.go
@@ -32,8 +32,21 @@
 	if moved || restarted || leaving {
 		p.CloseIdle(name)
 	}
-	if moved || leaving {
+	switch {
+	case moved || leaving:
 		p.withdrawPending(h)
+	case restarted:
+		p.moveResting(h)
+	}
+}
+
+// moveResting starts the requests that wait until their connection has rested on others: the process at the other end has
+// ended.
+func (p *Pool) moveResting(host *upstreamHost) {
+	for _, c := range p.waitingFor(host) {
+		if c.isResting() {
+			c.moveRequest()
+		}
 	}
 }
 
@@ -50,7 +63,14 @@
 // withdrawPending ends the requests that wait for a connection to a host that leaves or has moved, or until it has rested,
 // as not sent. Written then, they would reach the host after the change was announced.
 func (p *Pool) withdrawPending(host *upstreamHost) {
-	var waiting []*conn
+	for _, c := range p.waitingFor(host) {
+		p.Cancel(c.ref)
+		p.reportOutcome(c.ref, c.isProbe, admission.NotSent, core.Answer{})
+	}
+}
+
+// waitingFor returns the connections to a host whose request is not written yet, in the order of the requests.
+func (p *Pool) waitingFor(host *upstreamHost) (waiting []*conn) {
 	for _, c := range p.active {
 		if c.host == host && c.message != nil {
 			waiting = append(waiting, c)
@@ -59,10 +79,7 @@
 	slices.SortFunc(waiting, func(a, b *conn) int {
 		return cmp.Or(cmp.Compare(a.ref.Stream, b.ref.Stream), cmp.Compare(a.ref.Attempt, b.ref.Attempt))
 	})
-	for _, c := range waiting {
-		p.Cancel(c.ref)
-		p.reportOutcome(c.ref, c.isProbe, admission.NotSent, core.Answer{})
-	}
+	return waiting
 }
 
 // CloseIdle closes the idle connections to a host.
--- a/internal/net/upstream/race_test.go
+++ b/internal/net/upstream/race_test.go
@@ -101,6 +101,55 @@
 	require.Zero(t, p.OpenConnections(), "the connection led to the old address")
 }
 
+// A host restarts while a request waits until its connection has rested. The request must not be written to the process
+// that has ended.
+func TestHostRestartsWhileRequestRests(t *testing.T) {
+	var conns, requests atomic.Int64
+	l, p, sink := newTestPool(t, func(c net.Conn) {
+		isFirst := conns.Add(1) == 1
+		r := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if n := requests.Add(1); isFirst && n > 1 {
+				return // the process that has ended answers nothing more
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	p.bounds.UpstreamReuseDelay = 100 * time.Millisecond
+	startGet(p, 1)
+	waitForOutcomes(t, l, sink, 1)
+	startGet(p, 2) // rests
+	p.SetHost("h", p.hosts["h"].address, 5, false)
+	require.Equal(t, admission.OK, waitForOutcomes(t, l, sink, 2)[1])
+	require.Equal(t, int64(2), requests.Load())
+	require.Equal(t, int64(2), conns.Load())
+}
+
+// The predecessor process hands over a connection to a host that has moved or restarted since. A request on it would reach
+// whoever is there now.
+func TestAdoptConnectionOfMovedOrRestartedHost(t *testing.T) {
+	for name, change := range map[string]func(*Pool, *upstreamHost){
+		"moved":     func(p *Pool, _ *upstreamHost) { p.SetHost("h", "127.0.0.1:1", 0, false) },
+		"restarted": func(p *Pool, h *upstreamHost) { p.SetHost("h", h.address, p.loop.Now()+time.Second, false) },
+		"unchanged": func(*Pool, *upstreamHost) {},
+	} {
+		l, p, sink, _ := newTestPoolWithNotifications(t)
+		startGet(p, 1)
+		waitForOutcomes(t, l, sink, 1)
+		var fds []int
+		since := l.Now()
+		p.HandOver(func(_ string, _ time.Duration, fd int) { fds = append(fds, fd) })
+		p.StopHandOver()
+		change(p, p.hosts["h"])
+		require.Len(t, fds, 1)
+		require.NoError(t, p.AdoptConnection("h", since, fds[0]))
+		require.Equal(t, name == "unchanged", p.OpenConnections() == 1, name)
+	}
+}
+
 // The predecessor process hands over an idle connection to a host that is leaving. The connection must be closed.
 func TestAdoptConnectionOfLeavingHost(t *testing.T) {
 	for _, leaving := range []bool{false, true} {
