Discovery: a host that comes up at another's address takes its place

Callers saw: an order that may have run in one cell ran again in another, when a new host came up at the address of one that had gone and discovery named it before it named the other as gone. Cause: hosts are known by name and reached by address; two names at one address led to the same process. Evidence: TestOrderIsNotRepeatedAtHostWithReusedAddress failed before: the repeat got 200. Change: a known host whose address a new or moved host has, and that the message does not name, is gone. Measured: the test passes; the repeat is not sent within the window, and served after it.

--- a/internal/net/discovery/discovery.go
+++ b/internal/net/discovery/discovery.go
@@ -139,6 +139,7 @@
 		update.Kind = admission.ListFull
 	}
 	listed := map[string]bool{}
+	list.Entries = append(list.Entries, w.superseded(list.Entries)...)
 	for i := range list.Entries {
 		e := &list.Entries[i]
 		e.Boot = w.bootTime(*e)
@@ -166,6 +167,31 @@
 	}
 }
 
+// superseded returns, in state Gone, the known hosts that discovery does not name in its message and whose address a host
+// in the message has come up at: their processes have ended, and what is sent there would reach the other host.
+func (w *Watcher) superseded(entries []Entry) (gone []Entry) {
+	named := make(map[string]bool, len(entries))
+	owners := map[string]bool{}
+	for i := range entries {
+		e := &entries[i]
+		named[e.Name] = true
+		if previous, isKnown := w.known[e.Name]; e.State != admission.Gone && (!isKnown || previous.Addr != e.Addr) {
+			owners[e.Addr] = true
+		}
+	}
+	if len(owners) == 0 {
+		return nil
+	}
+	for name, e := range w.known {
+		if !named[name] && owners[e.Addr] {
+			e.State = admission.Gone
+			gone = append(gone, e)
+		}
+	}
+	slices.SortFunc(gone, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
+	return gone
+}
+
 // remove drops a host that is gone from the current list.
 func (w *Watcher) remove(name string) {
 	w.hosts.RemoveHost(name)
