Decision module: bound the customers in memory

On one connection it did not show here (some hundred customers a second, 35 MB), but a customer was kept for 90 s whatever their number: at 10,000 new ones a second some 900,000 of about 1 KB. Cause: a table keyed by what clients choose, without a bound. Change: 64 customers for each MB of memory. At the bound those idle longest are forgotten, under a ceiling only with all their tokens back, as they would start anew with these; if none may go, a new customer is refused (429).

--- a/admission/api.go
+++ b/admission/api.go
@@ -318,6 +318,8 @@
 	ReasonTooSlow       Reason = "no upstream host would answer in time"
 	ReasonRetryBudget   Reason = "the retry budget is spent, or its latency target has passed"
 	ReasonOverCeiling   Reason = "over this ingress's share of its ceiling"
+
+	ReasonTooManyCustomers Reason = "no memory for a further customer"
 )
 
 // SetTimer asks for a TimerFired at the time At.
--- a/admission/quota.go
+++ b/admission/quota.go
@@ -197,6 +197,10 @@
 		g.route(r)
 		return
 	}
+	if !g.hasCustomerRoom(ev.Customer) {
+		g.refuse(r, customerRoomInterval, ReasonTooManyCustomers)
+		return
+	}
 	c := g.ensureCustomer(ev.Customer, ev.Plan, ev.Gateways, ev.FirstGateway)
 	r.customer = c
 	if g.rng.Float64() >=
--- a/admission/state.go
+++ b/admission/state.go
@@ -25,6 +25,9 @@
 	customers    map[uint64]*customer      // seen within customerTTL, by id
 	counterCalls map[string][]*counterCall // not answered, by counter name, the oldest first
 
+	maxCustomers       int           // in memory; 0: not bounded
+	nextCustomerSearch time.Duration // earliest time of the next search for customers to forget
+
 	counterFailures   int           // counter calls lost in a row
 	isBreakerOpen     bool          // the counter is only probed
 	nextCounterProbe  time.Duration // earliest time of the next probe
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -246,6 +246,7 @@
 	if d.module, err = admission.New(cfg.Settings, cfg.Seed); err != nil {
 		return err
 	}
+	d.module.SetMaxCustomers(cfg.Limits.MaxCustomers)
 	l := d.loop
 	d.upstreams = upstream.New(l, cfg.Limits, d.log, &d.metrics.UpstreamRequests)
 	d.addClassMetrics()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,9 @@
 	// MemoryBudgetBytes is the memory for all that connections hold: input, bodies, unsent output and relayed bodies.
 	MemoryBudgetBytes int
 
+	// MaxCustomers bounds the customers whose state the decision module keeps.
+	MaxCustomers int
+
 	// MemoryWaitTimeout is how long a request may wait for memory before it is refused.
 	MemoryWaitTimeout time.Duration
 
@@ -212,6 +215,9 @@
 // module, garbage that is not collected yet, and a second process while one takes the other's place.
 const memoryBudgetDivisor = 6
 
+// customersPerMB bounds the customers in memory, of which each takes about 1 KB.
+const customersPerMB = 64
+
 // RelayWindow returns how many bytes of a new body may be buffered while the given number of bytes is granted to the bodies
 // that are relayed in the same direction. All windows together exceed MaxRelayBufferBytes by no more than minRelayWindow
 // each.
@@ -390,6 +396,7 @@
 	l.MaxDownstreamConns = min(free/2, l.Sockets*downstreamPercent/100)
 	l.MaxUpstreamConns = free - l.MaxDownstreamConns
 	l.MaxRelayBufferBytes = l.MemoryMB << 20 / relayMemoryDivisor
+	l.MaxCustomers = l.MemoryMB * customersPerMB
 	l.MemoryBudgetBytes = l.MemoryMB << 20 / memoryBudgetDivisor
 	return l, nil
 }
