Core: let the module answer first in a turn that comes late

Seen in the report: "stream unanswered at its deadline" on two processes right after a crowd had arrived. Cause: the core answers by itself 4 ms after a deadline; in a turn that is later than that both timers fired before the module had been told of the deadline, and the line blamed the module. Evidence: TestModuleAnswersInLateTurn failed before. Change: the core's own answer waits until the module has had the end of its attempts. Measured: the test passes.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -378,3 +378,23 @@
 	require.Equal(t, admission.FleetChanged{IsUncertain: true}, module.events[0])
 	require.IsType(t, admission.RequestArrived{}, module.events[1])
 }
+
+// A turn comes so late that a stream's deadline and the time at which the core answers by itself have both passed. The
+// module learns of the deadline first and gives the answer.
+func TestModuleAnswersInLateTurn(t *testing.T) {
+	core, _, env, log := newTestCore(func(ev admission.Event) []admission.Action {
+		if ev, ok := ev.(admission.AttemptEnded); ok {
+			return []admission.Action{admission.Fail{ID: ev.ID}}
+		}
+		return sendToHost(ev)
+	})
+	core.StartStream(0, env.request(100*ms))
+	core.Turn(0)
+	next := core.Turn(200 * ms)
+	for next > 0 && len(env.ends) == 0 {
+		next = core.Turn(next)
+	}
+	require.Len(t, env.ends, 1)
+	require.Equal(t, Expired, env.ends[0].Kind)
+	require.NotContains(t, log.String(), "unanswered at its deadline")
+}
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -24,6 +24,7 @@
 	isWrite                   bool // it must not run twice under one request id
 	mayHaveRun                bool // an attempt that has ended may have run
 	hasClientLeft             bool
+	deadlineFiredAt           time.Duration // when deadlineTimer fired
 	repeatWindow              time.Duration // of its idempotency key, by the settings at its start; see keyTable
 	trace                     Trace
 	timeout                   time.Duration // of a partial request: its deadline is this long after its completion
--- a/internal/core/turn.go
+++ b/internal/core/turn.go
@@ -112,6 +112,7 @@
 		c.withdrawAttempt(t.ref)
 	case deadlineTimer:
 		if s := c.streams[t.ref.Stream]; s != nil {
+			s.deadlineFiredAt = c.now
 			for i := range s.attempts {
 				c.cancelAttempt(Ref{s.id, i}, admission.TimedOut)
 			}
@@ -119,7 +120,12 @@
 	case overdueTimer:
 		// The module answers every stream by its deadline. If it does not, the client still gets its one answer, which
 		// is not a refusal, since the module has ordered none.
-		if s := c.streams[t.ref.Stream]; s != nil && !s.isClosed {
+		s := c.streams[t.ref.Stream]
+		switch {
+		case s == nil || s.isClosed:
+		case s.deadlineFiredAt == c.now: // this turn is late, and the module has not been told yet
+			c.timers.Push(c.now+time.Microsecond, t)
+		default:
 			c.log.Error("stream unanswered at its deadline", "stream", s.id)
 			c.abandonStream(s, Expired)
 		}
