--- a/cmd/ferryfront/flood_test.go
+++ b/cmd/ferryfront/flood_test.go
@@ -70,7 +70,7 @@
 func TestFloodOfOneClientDelaysNobody(t *testing.T) {
 	for _, f := range floods {
 		t.Run(f.name, func(t *testing.T) {
-			env := withCrowdLimits(t)
+			env := newTestEnv(t).withCrowdLimits().start()
 			done := make(chan struct{})
 			sent, length := 0, floodLength
 			if !f.reads {
--- a/cmd/ferryfront/memory_limit_test.go
+++ b/cmd/ferryfront/memory_limit_test.go
@@ -179,18 +179,21 @@
 	}
 }
 
-// withCrowdLimits starts a daemon with the least memory.
-func withCrowdLimits(t *testing.T) *testEnv {
-	env := newTestEnv(t)
+// withCrowdLimits gives the daemon the least memory and four hosts.
+func (env *testEnv) withCrowdLimits() *testEnv {
+	before := env.modifyConfig
 	env.modifyConfig = func(config, settings map[string]any) {
 		config["limits"] = object{"cores": 1, "memory_mb": leastMemoryMB, "sockets": crowdSockets}
 		settings["tiersOfService"].([]object)[0]["quotaRate"] = 1e6
 		settings["tiersOfService"].([]object)[0]["storeSize"] = 1e6
+		if before != nil {
+			before(config, settings)
+		}
 	}
 	for i := 1; i <= 4; i++ {
 		env.hosts[fmt.Sprint("h", i)] = crowdHost
 	}
-	return env.start()
+	return env
 }
 
 // A crowd of clients that hold as much memory as they can stays within the memory limit, and others are served beside it.
@@ -201,7 +204,7 @@
 	}
 	for name, kinds := range mixes {
 		t.Run(name, func(t *testing.T) {
-			env := withCrowdLimits(t)
+			env := newTestEnv(t).withCrowdLimits().start()
 			done := make(chan struct{})
 			go func() {
 				defer close(done)
