--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -57,6 +57,7 @@
 	dropsCounterCalls    bool             // counter calls are left to the successor
 	deferredCounterCalls []admission.CounterAdd
 	predecessorStreams   map[uint64]StreamState // the predecessor's streams that have not finished
+	predecessorRan       map[uint64]struct{}    // those of them of which an attempt that has ended may have run
 }
 
 // Config holds the dependencies and settings of a Core.
@@ -85,7 +86,7 @@
 		streams: map[uint64]*stream{}, requestIDs: map[string]struct{}{}, probes: map[uint64]probe{},
 		idempotencyKeys: keyTable{repeatWindows: config.RepeatWindows, entries: map[string]*keyEntry{},
 			hostLocations: map[string]location{}},
-		predecessorStreams: map[uint64]StreamState{}, isDebugEnabled: DebugEnabled(config.Log)}
+		predecessorStreams: map[uint64]StreamState{}, predecessorRan: map[uint64]struct{}{}, isDebugEnabled: DebugEnabled(config.Log)}
 }
 
 // HasObserver reports whether ended streams are observed, and so whether Request.Trace is used.
--- a/internal/core/handover.go
+++ b/internal/core/handover.go
@@ -63,7 +63,6 @@
 type StreamState struct {
 	ID                        uint64
 	RequestID, IdempotencyKey string
-	MayHaveRun                bool // by the messages of its process about ended attempts; not in a snapshot
 }
 
 // KeyState is the state of an idempotency key.
@@ -154,8 +153,7 @@
 	switch {
 	case !ok:
 	case !neverRan(outcome):
-		s.MayHaveRun = true
-		c.predecessorStreams[id] = s
+		c.predecessorRan[id] = struct{}{}
 	case s.IdempotencyKey != "":
 		c.idempotencyKeys.clearAttempt(s.IdempotencyKey, host, startedAt)
 	}
@@ -170,7 +168,8 @@
 	}
 	delete(c.predecessorStreams, id)
 	delete(c.requestIDs, s.RequestID)
-	if s.MayHaveRun {
+	if _, mayHaveRun := c.predecessorRan[id]; mayHaveRun {
+		delete(c.predecessorRan, id)
 		c.ranRequests.remember(s.RequestID, c.now)
 	}
 	c.idempotencyKeys.release(s.IdempotencyKey, id)
@@ -179,9 +178,8 @@
 // PredecessorExited reports that the predecessor's process has exited, and with it all its streams, whose requests may have
 // run.
 func (c *Core) PredecessorExited() {
-	for id, s := range c.predecessorStreams {
-		s.MayHaveRun = true
-		c.predecessorStreams[id] = s
+	for id := range c.predecessorStreams {
+		c.predecessorRan[id] = struct{}{}
 		c.PredecessorStreamDone(id)
 	}
 }
