Figures of client connections and of the memory that connections hold

A client that closes its side right behind a request answered here at once, such as /up by a shell, gets that answer again.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -68,6 +68,9 @@
 	d := h.daemon
 	buffer = d.metrics.AppendText(buffer, figures.Gauges{InFlight: d.core.CompleteRequests() + d.server.ActiveRelays(), ListedHosts: d.watcher.HostCount(),
 		AvoidedHosts: d.module.AvoidedServers(d.loop.Now())})
+	counts := d.server.Counts()
+	buffer = figures.AppendConnections(buffer, figures.Connections{Open: d.server.OpenConnections(), MemoryHeld: d.memory.Held(),
+		MemoryLimit: d.memory.Limit(), Accepted: counts.Accepted, Evicted: counts.Evicted, RefusedForMemory: counts.RefusedForMemory})
 	buffer = figures.AppendSettingsVersions(buffer, d.settingsVersions())
 	if d.controlGroup != nil {
 		buffer = figures.AppendControlGroup(buffer, d.controlGroup.metrics(d.loop.Now()))
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -114,6 +114,22 @@
 	return appendSample(b, "peer_messages_dropped", m.MessagesDropped)
 }
 
+// Connections describes the client connections and the memory that all connections hold together.
+type Connections struct {
+	Open, MemoryHeld, MemoryLimit       int // connections; bytes
+	Accepted, Evicted, RefusedForMemory uint64
+}
+
+// AppendConnections appends c to b in the Prometheus text format.
+func AppendConnections(b []byte, c Connections) []byte {
+	b = appendSample(b, "client_connections", uint64(c.Open))
+	b = appendSample(b, "client_connections_accepted", c.Accepted)
+	b = appendSample(b, "client_connections_evicted", c.Evicted)
+	b = appendSample(b, "memory_held", uint64(max(0, c.MemoryHeld)))
+	b = appendSample(b, "memory_budget", uint64(c.MemoryLimit))
+	return appendSample(b, "memory_refusals", c.RefusedForMemory)
+}
+
 // ControlGroup describes an ingress's connection to the control group and the leases it holds there.
 type ControlGroup struct {
 	IsConnected, HoldsSettingsLease, HoldsShareLease bool
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -58,6 +58,8 @@
 	receiver         Receiver          // takes over the connections; nil: no handover
 	debugEnabled     bool              // the log accepts debug records
 	acceptedTotal    uint64            // connections accepted or adopted since the start
+	evictedTotal     uint64            // connections closed to make room for others
+	refusedForMemory uint64            // requests refused because there was no memory for them
 	uploadWindows    int               // bytes granted to the pipes of request bodies that are forwarded
 	memory           *membudget.Budget // nil: not limited
 	memoryWaiters    []*Conn           // not read until there is room, longest waiting first
@@ -114,6 +116,15 @@
 	return len(s.listeners) > 0 && !s.suspended && !s.listenersClosed && !s.draining
 }
 
+// Counts are totals since the start of the process.
+type Counts struct {
+	Accepted, Evicted uint64 // connections
+	RefusedForMemory  uint64 // requests
+}
+
+// Counts returns the totals so far.
+func (s *Server) Counts() Counts { return Counts{s.acceptedTotal, s.evictedTotal, s.refusedForMemory} }
+
 // OpenConnections returns the number of client connections that this process holds.
 func (s *Server) OpenConnections() int { return len(s.conns) }
 
@@ -209,7 +220,7 @@
 }
 
 // Ready handles the connection's readiness events: it writes, reads, or detects that the client has disconnected. A client
-// that has closed its sending side counts as gone, whatever of its input is unread.
+// that has closed its sending side while its request is in progress counts as gone, whatever of its input is unread.
 func (c *Conn) Ready(events uint32) {
 	if events&loop.Out != 0 && !c.flush() {
 		return
@@ -221,7 +232,7 @@
 	switch {
 	case events&loop.FullHangup != 0: // unread input is useless, since no response can be sent
 		c.disconnect(closedReset)
-	case events&loop.ReadHangup != 0:
+	case events&loop.ReadHangup != 0 && (c.awaitingResponse || c.memoryWaitSince != 0):
 		c.endForDepartedClient()
 	case c.server.suspended && !c.awaitingResponse: // the process that continues the connection reads its input
 	case events&(loop.In|loop.Hangup) != 0:
--- a/internal/net/downstream/eviction.go
+++ b/internal/net/downstream/eviction.go
@@ -16,6 +16,7 @@
 // kernel's queue instead.
 func (s *Server) evictOne() bool {
 	if c := s.lingering.first; c != nil {
+		s.evictedTotal++
 		c.close(closedEvicted)
 		return true
 	}
@@ -29,6 +30,7 @@
 			return true
 		}
 		if c.list != nil && c.lastReadAt < s.loop.Now() {
+			s.evictedTotal++
 			c.closeGracefully(closedEvicted)
 			c.close(closedEvicted)
 			return true
--- a/internal/net/downstream/memory.go
+++ b/internal/net/downstream/memory.go
@@ -86,6 +86,7 @@
 			c.read()
 		case s.loop.Now()-since > s.bounds.MemoryWaitTimeout:
 			c.memoryWaitSince = 0
+			s.refusedForMemory++
 			c.rejectRequest(statusNoMemory, "no memory for the request")
 		default:
 			rest = append(rest, c)
