Count bodies that wait in pipes until they have been written

Read, not shown: a pipe counted towards the budget only as long as its sender was still sending. What a slow reader had left, up to 64 KiB each, was counted nowhere; neither was the head that a remembered id or key was a part of. Pipes count for the client's connection now, ids and keys are copied, and a client that waits for 100 Continue gets it only when there is room for its body.

--- a/internal/core/ranrequests.go
+++ b/internal/core/ranrequests.go
@@ -28,6 +28,7 @@
 	if id == "" {
 		return
 	}
+	id = strings.Clone(id) // it may be a part of a long text
 	if t.expiresAt == nil {
 		t.expiresAt = map[string]time.Duration{}
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -87,7 +87,7 @@
 // another that is open, nor its idempotency key.
 func Open(s Streams, c *downstream.Conn, a admission.RequestArrived, r *http1.Request, o core.Owner) bool {
 	req := core.Request{RequestArrived: a, RequestID: retain(r, r.Headers.Get("Request-Id")),
-		IdempotencyKey: retain(r, r.Headers.Get("Idempotency-Key")), Owner: o, IsPartial: r.IsStreamed}
+		IdempotencyKey: strings.Clone(r.Headers.Get("Idempotency-Key")), Owner: o, IsPartial: r.IsStreamed}
 	req.RequestArrived.IsPartial = r.IsStreamed
 	if r.IsStreamed { // its time has not begun
 		req.LastIncomplete = c.LastIncomplete
--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -25,7 +25,7 @@
 	u.received = len(req.Body)
 	u.pipe.Append(req.Body) // copies it, so the parser's buffer can be released
 	c.parser.ReleaseBodyBuffers()
-	req.Body, req.BodyPipe, c.upload = nil, u.pipe, u
+	req.Body, req.BodyPipe, c.upload, c.bodyPipe = nil, u.pipe, u, u.pipe
 	c.server.uploadWindows += u.pipe.Window()
 	u.pipe.OnFreeSpace = c.updateEvents
 	c.listener.handler.HandleRequest(c, req)
@@ -154,6 +154,7 @@
 	if r == nil || c.source.FD() < 0 {
 		return
 	}
+	c.updateMemory()
 	if !c.writeRelay(r) {
 		return
 	}
--- a/internal/net/downstream/close.go
+++ b/internal/net/downstream/close.go
@@ -19,7 +19,7 @@
 	c.traceClosing(reason)
 	c.lingering = true
 	c.parser.Reset()
-	c.hasBodyRoom, c.memoryWaitSince = false, 0
+	c.hasBodyRoom, c.memoryWaitSince, c.bodyPipe = false, 0, nil
 	if len(c.unsent) == 0 {
 		c.shutdownWrite()
 	}
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -11,6 +11,7 @@
 
 	"ferryfront.example/ferryfront/internal/core"
 	"ferryfront.example/ferryfront/internal/limits"
+	"ferryfront.example/ferryfront/internal/net/flow"
 	"ferryfront.example/ferryfront/internal/net/http1"
 	"ferryfront.example/ferryfront/internal/net/loop"
 	"ferryfront.example/ferryfront/internal/net/membudget"
@@ -185,8 +186,9 @@
 	isHead           bool          // the method is HEAD
 	isHTTP10         bool          // the protocol is HTTP/1.0
 
-	upload *bodyUpload    // the request body that is still being received; nil: none
-	relay  *responseRelay // the response body that is still being relayed; nil: none
+	upload   *bodyUpload    // the request body that is still being received; nil: none
+	bodyPipe *flow.Pipe     // of a streamed request, also when its body has been received; nil: none
+	relay    *responseRelay // the response body that is still being relayed; nil: none
 }
 
 // Now returns the time of the current loop turn.
@@ -201,6 +203,7 @@
 	c.phaseSince = c.server.loop.Now()
 	c.lastReadAt = c.phaseSince
 	c.parser.ReleaseIdleBuffers()
+	c.bodyPipe = nil
 	c.updateMemory()
 	c.addToEvictionList()
 }
--- a/internal/net/downstream/memory.go
+++ b/internal/net/downstream/memory.go
@@ -26,8 +26,11 @@
 	if expected := c.parser.ExpectedBodyBytes(); c.hasBodyRoom {
 		held += max(0, expected-c.parser.BodyBytesRead())
 	}
-	if c.upload != nil {
-		held += c.upload.pipe.HeldBytes()
+	if c.bodyPipe != nil {
+		held += c.bodyPipe.HeldBytes()
+	}
+	if c.relay != nil {
+		held += c.relay.pipe.HeldBytes()
 	}
 	c.memory.Set(held)
 }
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -104,7 +104,7 @@
 			return
 		}
 		if req == nil {
-			if c.parser.TakeExpectContinue() {
+			if !c.lacksMemory() && c.parser.TakeExpectContinue() {
 				c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			}
 			break
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -177,14 +177,8 @@
 // hasUnwritten reports whether request bytes wait until the socket takes them.
 func (c *conn) hasUnwritten() bool { return len(c.unsent) > 0 || len(c.wholeBody) > 0 }
 
-// updateMemory accounts for what the connection holds.
-func (c *conn) updateMemory() {
-	held := c.parser.HeldBytes() + c.unsentHeld
-	if c.relay != nil {
-		held += c.relay.pipe.HeldBytes()
-	}
-	c.memory.Set(held)
-}
+// updateMemory accounts for what the connection holds. Pipes count for the client's connection.
+func (c *conn) updateMemory() { c.memory.Set(c.parser.HeldBytes() + c.unsentHeld) }
 
 // reportOutcome passes the outcome of a request or probe to the sink.
 func (p *Pool) reportOutcome(ref core.Ref, isProbe bool, o admission.Outcome, a core.Answer) {
