--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -215,7 +215,7 @@
 // module, garbage that is not collected yet, and a second process while one takes the other's place.
 const memoryBudgetDivisor = 6
 
-// customersPerMB bounds the customers in memory, of which each takes about 1 KB.
+// customersPerMB bounds the customers in memory, which take less than a sixteenth of it.
 const customersPerMB = 64
 
 // RelayWindow returns how many bytes of a new body may be buffered while the given number of bytes is granted to the bodies
