--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -25,13 +24,13 @@
 	HasObserver() bool
 }
 
-// passed are the headers that go on to upstream hosts as they came.
-var passed = [...]string{"Request-Id", "Idempotency-Key", "Content-Type"}
+// forwardedHeaders are the headers that go on to upstream hosts as they came.
+var forwardedHeaders = [...]string{"Request-Id", "Idempotency-Key", "Content-Type"}
 
 // Message makes of a request what goes to an upstream host.
 func Message(r *http1.Request) *upstream.Message {
-	m := &upstream.Message{Method: r.Method, Target: retain(r, r.Target), Headers: make(http1.Headers, 0, len(passed)+1)}
-	for _, name := range passed {
+	m := &upstream.Message{Method: r.Method, Target: retain(r, r.Target), Headers: make(http1.Headers, 0, len(forwardedHeaders)+1)}
+	for _, name := range forwardedHeaders {
 		if v := r.Headers.Get(name); v != "" {
 			m.Headers = append(m.Headers, http1.Header{Name: name, Value: retain(r, v)})
 		}
@@ -51,23 +50,24 @@
 	return part
 }
 
-// once are the fields that upstream hosts or we decide by. Of two, each reader may take another.
-var once = [...]string{"Request-Id", "Request-Class", "Request-Timeout", "Idempotency-Key", "X-Plan", "X-Quota",
+// singleHeaders are the headers by which upstream hosts or this program decide. Of two with the same name, each reader may take
+// another one.
+var singleHeaders = [...]string{"Request-Id", "Request-Class", "Request-Timeout", "Idempotency-Key", "X-Plan", "X-Quota",
 	"Client-Retry", "Content-Type"}
 
-// Check tells what no front takes, whatever it says: what upstream hosts may read in another way than we do.
+// Check returns an error for a request that no front accepts, because upstream hosts may read it in another way.
 func Check(r *http1.Request) error {
-	for _, name := range once {
+	for _, name := range singleHeaders {
 		if r.Headers.Count(name) > 1 {
 			return fmt.Errorf("%s is there twice", name)
 		}
 	}
 	id := r.Headers.Get("Request-Id")
-	if len(id) > idMost {
-		return fmt.Errorf("Request-Id is over %d bytes", idMost)
+	if len(id) > maxIDBytes {
+		return fmt.Errorf("Request-Id is over %d bytes", maxIDBytes)
 	}
-	if len(r.Headers.Get("Idempotency-Key")) > idMost {
-		return fmt.Errorf("Idempotency-Key is over %d bytes", idMost)
+	if len(r.Headers.Get("Idempotency-Key")) > maxIDBytes {
+		return fmt.Errorf("Idempotency-Key is over %d bytes", maxIDBytes)
 	}
 	for _, text := range []string{id, r.Headers.Get("Idempotency-Key"), r.Target} {
 		if strings.ContainsFunc(text, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
@@ -80,8 +80,8 @@
 	return nil
 }
 
-// idMost bounds an id and a key: they are kept as long as a request with them may run.
-const idMost = 256
+// maxIDBytes bounds an id and a key: they are kept as long as a request with them may run.
+const maxIDBytes = 256
 
 // Open opens the stream of a request. It tells whether that was possible: no request may have the id of
 // another that is open, nor its idempotency key.
@@ -111,9 +111,9 @@
 	return true
 }
 
-// trace goes on with the trace that a client has begun. One that sends none, or what can't be read, is given the
-// one that follows from dealer and key, so that each try of an order is of one trace whichever ingress it comes
-// through; without a key it is a new one.
+// trace continues the trace that a client has begun. A request without one, or with one that can't be parsed, gets a trace
+// that is derived from its customer and key, so that all attempts of an order are of one trace whichever ingress they come
+// through. Without a key it is a new one.
 func trace(customer uint64, key string, r *http1.Request) core.Trace {
 	t := core.Trace{Span: tracecontext.Span(rand.Uint64())}
 	var ok bool
@@ -169,62 +169,3 @@
 	}
 	return http1.Headers{{Name: "Retry-After", Value: "1"}}
 }
-
-// Customer reads the customer's number: 16 hexadecimal digits, or fewer, below 2^33.
-func Customer(text string) (uint64, bool) {
-	n, err := strconv.ParseUint(text, 16, 33)
-	return n, err == nil && len(text) <= 16
-}
-
-// Timeout reads a time such as "480m" (milliseconds) or "480000u" (microseconds).
-func Timeout(text string) (time.Duration, bool) {
-	unit := time.Millisecond
-	digits, ok := strings.CutSuffix(text, "m")
-	if !ok {
-		if digits, ok = strings.CutSuffix(text, "u"); !ok {
-			return 0, false
-		}
-		unit = time.Microsecond
-	}
-	f, err := strconv.ParseFloat(digits, 64)
-	if err != nil || strings.Trim(digits, "0123456789.") != "" || f <= 0 || f > 1e12 {
-		return 0, false
-	}
-	return time.Duration(f * float64(unit)).Truncate(time.Microsecond), true
-}
-
-// Doors reads the platform's form of a quota, "units=2,spread=3,first=1", into whichever of the three
-// are wanted; fields that are not there leave them as they are. Each has a range of its own.
-func Doors(text string, set *admission.Settings, units, spread, first *int) error {
-	seen := map[string]bool{}
-	for field := range strings.SplitSeq(text, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		if seen[name] {
-			return fmt.Errorf("%s is there twice", name)
-		}
-		seen[name] = true
-		var into *int
-		least, most := 1, set.Gateways
-		switch name {
-		case "units":
-			if into = units; set.MaxUnits > 0 {
-				most = set.MaxUnits
-			} else {
-				most = 1e6
-			}
-		case "spread":
-			into = spread
-		case "first":
-			into, least, most = first, 0, set.Gateways-1
-		}
-		if into == nil {
-			continue
-		}
-		n, err := strconv.Atoi(value)
-		if err != nil || n < least || n > most || strings.HasPrefix(value, "+") {
-			return fmt.Errorf("%s is %q", name, value)
-		}
-		*into = n
-	}
-	return nil
-}
--- a/internal/front/openapi/openapi.go
+++ b/internal/front/openapi/openapi.go
@@ -174,7 +174,7 @@
 		a.ExpiresIn = time.Minute
 	}
 	if doors := get(f.file.Doors); doors != "" {
-		if err := front.Doors(doors, &f.settings, nil, &a.Gateways, &a.FirstGateway); err != nil {
+		if err := front.Quota(doors, &f.settings, nil, &a.Gateways, &a.FirstGateway); err != nil {
 			return a, err
 		}
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -143,7 +143,7 @@
 		a.ExpiresIn = time.Minute
 	}
 	a.Units, a.Gateways, a.FirstGateway = 1, f.settings.Gateways, 0
-	if err := front.Doors(r.Headers.Get("X-Quota"), &f.settings, &a.Units, &a.Gateways, &a.FirstGateway); err != nil {
+	if err := front.Quota(r.Headers.Get("X-Quota"), &f.settings, &a.Units, &a.Gateways, &a.FirstGateway); err != nil {
 		return a, fmt.Errorf("X-Quota: %w", err)
 	}
 	a.IsRetry = r.Headers.Get("Client-Retry") == "1"
