Give memory back when another process of this ingress begins

A process that is being replaced lowers its runtime limit; what it had beyond that is returned to the system at once.

--- a/cmd/ferryfront/memory_replacement_test.go
+++ b/cmd/ferryfront/memory_replacement_test.go
@@ -49,7 +49,7 @@
 		env.joinCrowd(crowdKinds, crowdClients, 6*time.Second)
 	}()
 	var successor atomic.Pointer[process]
-	peak := int64(0)
+	peak, peakWithBothTexts := int64(0), int64(0)
 	sampled := make(chan struct{})
 	go func() {
 		defer close(sampled)
@@ -60,11 +60,13 @@
 			case <-time.After(5 * time.Millisecond):
 			}
 			sum, mapped := memoryOf(old.cmd.Process.Pid)
+			texts := mapped
 			if p := successor.Load(); p != nil {
-				own, _ := memoryOf(p.cmd.Process.Pid) // of the program's text there is one copy in memory
-				sum += own
+				anonymous, text := memoryOf(p.cmd.Process.Pid) // of the program's text there is one copy in memory
+				sum += anonymous
+				texts += text
 			}
-			peak = max(peak, sum+mapped)
+			peak, peakWithBothTexts = max(peak, sum+max(mapped, texts-mapped)), max(peakWithBothTexts, sum+texts)
 		}
 	}()
 	go func() {
@@ -75,7 +77,8 @@
 	}()
 	longest, asked, unanswered := env.askBeside(done)
 	<-sampled
-	t.Logf("peak %d KB, longest wait %v, %d of %d unanswered", peak>>10, longest, unanswered, asked)
+	t.Logf("peak %d KB, %d KB with both copies of the text, longest wait %v, %d of %d unanswered", peak>>10,
+		peakWithBothTexts>>10, longest, unanswered, asked)
 	require.Contains(t, env.log.String(), `msg="taken over"`)
 	require.Less(t, peak, int64(leastMemoryMB*mib))
 	require.Less(t, longest, maxOrdinaryWait)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math"
 	"runtime"
 	"runtime/debug"
 
@@ -40,7 +41,11 @@
 func (d *Daemon) setMemoryShare(share memoryShare) {
 	bounds := d.loadedConfig.Limits
 	d.memory.SetLimit(bounds.MemoryBudgetBytes / share.budgetDivisor)
-	if d.options.Embedded == nil && bounds.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(bounds.MemoryMB) << 20 * int64(share.runtimePercent) / 100)
+	if d.options.Embedded != nil || bounds.MemoryMB <= 0 {
+		return
+	}
+	limit := int64(bounds.MemoryMB) << 20 * int64(share.runtimePercent) / 100
+	if previous := debug.SetMemoryLimit(limit); previous > limit && previous != math.MaxInt64 {
+		go debug.FreeOSMemory() // the other process needs it now
 	}
 }
