Make room for others where clients stop in the middle of a long body

A connection whose body is forwarded was never closed to make room. Change: one that has been silent for 250 ms in the middle of such a body, while there is room for more of it, may be closed like one in the middle of a head; nothing of its request is owed an answer.

--- a/cmd/ferryfront/memory_limit_test.go
+++ b/cmd/ferryfront/memory_limit_test.go
@@ -196,27 +196,38 @@
 	return env
 }
 
+// requireCrowdIsHarmless starts a daemon and requires that a crowd of the given kinds stays within the memory limit and that
+// others are served beside it.
+func requireCrowdIsHarmless(t *testing.T, kinds []crowdClient, clients int) {
+	env := newTestEnv(t).withCrowdLimits().start()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		env.joinCrowd(kinds, clients, 3*time.Second)
+	}()
+	longest, asked, unanswered := env.askBeside(done)
+	peak := peakResidentBytes(t, env.cmd.Process.Pid)
+	t.Logf("peak %d KB, longest wait %v, %d of %d unanswered", peak>>10, longest, unanswered, asked)
+	require.Less(t, peak, int64(leastMemoryMB*mib))
+	require.Less(t, longest, maxOrdinaryWait)
+	require.Zero(t, unanswered)
+	require.NotContains(t, env.log.String(), "unanswered at its deadline")
+}
+
 // A crowd of clients that hold as much memory as they can stays within the memory limit, and others are served beside it.
 func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
-	mixes := map[string][]crowdClient{"mixed": crowdKinds}
+	t.Run("mixed", func(t *testing.T) { requireCrowdIsHarmless(t, crowdKinds, crowdClients) })
 	for _, kind := range crowdKinds {
-		mixes[kind.name] = []crowdClient{kind}
+		t.Run(kind.name, func(t *testing.T) { requireCrowdIsHarmless(t, []crowdClient{kind}, crowdClients) })
 	}
-	for name, kinds := range mixes {
-		t.Run(name, func(t *testing.T) {
-			env := newTestEnv(t).withCrowdLimits().start()
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				env.joinCrowd(kinds, crowdClients, 3*time.Second)
-			}()
-			longest, asked, unanswered := env.askBeside(done)
-			peak := peakResidentBytes(t, env.cmd.Process.Pid)
-			t.Logf("peak %d KB, longest wait %v, %d of %d unanswered", peak>>10, longest, unanswered, asked)
-			require.Less(t, peak, int64(leastMemoryMB*mib))
-			require.Less(t, longest, maxOrdinaryWait)
-			require.Zero(t, unanswered)
-			require.NotContains(t, env.log.String(), "unanswered at its deadline")
-		})
+}
+
+// More clients stop in the middle of a long body than there are places. Others get theirs in time.
+func TestCrowdThatStopsInUploadsMakesRoom(t *testing.T) {
+	const clients = 420
+	for _, kind := range crowdKinds {
+		if kind.name == "stops in a long body" {
+			requireCrowdIsHarmless(t, []crowdClient{kind}, clients)
+		}
 	}
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -56,6 +56,10 @@
 	// EvictionGrace is how long a client connection must be silent before it may be closed to make room for another.
 	// If none may be closed, accepting pauses for the same time.
 	EvictionGrace time.Duration
+	// UploadEvictionGrace is the same for a connection in the middle of a body that is forwarded, which its host may have
+	// begun to read.
+	UploadEvictionGrace time.Duration
+
 	// LingerTimeout is how long bytes of a closed connection are still read and discarded.
 	LingerTimeout time.Duration
 	// MaxLingerBytes bounds the bytes of a closed connection that are read and discarded.
@@ -290,6 +294,7 @@
 		RelayStallTimeout:      20 * time.Second,
 		RelayStartDelay:        100 * time.Millisecond,
 		EvictionGrace:          25 * time.Millisecond,
+		UploadEvictionGrace:    250 * time.Millisecond,
 		MemoryWaitTimeout:      250 * time.Millisecond,
 		LingerTimeout:          time.Second,
 		MaxLingerBytes:         1 << 20,
--- a/internal/net/downstream/body.go
+++ b/internal/net/downstream/body.go
@@ -72,10 +72,25 @@
 
 // clearUpload ends the forwarding of the current request's body.
 func (c *Conn) clearUpload() {
+	c.removeFromList()
 	c.server.uploadWindows -= c.upload.pipe.Window()
 	c.upload = nil
 }
 
+// updateUploadEviction makes a connection eligible for eviction while its client is to send more of a body. While the pipe is
+// full, the host is slow, which is not the client's fault.
+func (c *Conn) updateUploadEviction() {
+	switch {
+	case c.upload.pipe.FreeSpace() == 0:
+		c.removeFromList()
+	case c.list == nil:
+		c.lastReadAt = c.server.loop.Now()
+		c.server.uploading.push(c)
+	case c.lastReadAt == c.server.loop.Now():
+		c.server.uploading.push(c)
+	}
+}
+
 // uploadWindow returns the window of a further request body.
 func (s *Server) uploadWindow() int {
 	if s.memory.Level(0) != membudget.Ample {
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -47,6 +47,7 @@
 	// The connections that may be evicted, by state, each list with the first candidate in front.
 	newConns  connList // not served yet, and no request begun; oldest first
 	receiving connList // part of a request received; longest without input first
+	uploading connList // part of a forwarded request body received, and room for more; longest without input first
 	idle      connList // served, and no request begun; longest idle first
 	lingering connList // last response written and sending side closed; oldest first
 
--- a/internal/net/downstream/eviction.go
+++ b/internal/net/downstream/eviction.go
@@ -29,6 +29,11 @@
 		if c.source.FD() < 0 {
 			return true
 		}
+		if c.list == &s.uploading && c.lastReadAt < s.loop.Now() {
+			s.evictedTotal++
+			c.disconnect(closedEvicted)
+			return true
+		}
 		if c.list != nil && c.lastReadAt < s.loop.Now() {
 			s.evictedTotal++
 			c.closeGracefully(closedEvicted)
@@ -43,20 +48,22 @@
 const maxEvictionTries = 8
 
 // evictionCandidate returns the eligible connection with the longest weighted silence, or nil if none has been silent
-// for longer than EvictionGrace. A connection with an unanswered request is not eligible.
+// for longer than EvictionGrace, or UploadEvictionGrace in a body that is forwarded. A connection with an unanswered request
+// that has been received is not eligible.
 func (s *Server) evictionCandidate() *Conn {
 	now := s.loop.Now()
 	var candidate *Conn
 	longest := time.Duration(0)
-	consider := func(l *connList, weight time.Duration) {
-		if c := l.first; c != nil && now-c.lastReadAt > s.bounds.EvictionGrace && weight*(now-c.lastReadAt) > longest {
+	consider := func(l *connList, weight, grace time.Duration) {
+		if c := l.first; c != nil && now-c.lastReadAt > grace && weight*(now-c.lastReadAt) > longest {
 			candidate, longest = c, weight*(now-c.lastReadAt)
 		}
 	}
-	consider(&s.newConns, newConnWeight)
-	consider(&s.receiving, 1)
+	consider(&s.newConns, newConnWeight, s.bounds.EvictionGrace)
+	consider(&s.receiving, 1, s.bounds.EvictionGrace)
+	consider(&s.uploading, 1, s.bounds.UploadEvictionGrace)
 	if s.newConns.length+s.receiving.length <= s.bounds.MaxDownstreamConns/2 {
-		consider(&s.idle, servedConnWeight)
+		consider(&s.idle, servedConnWeight, s.bounds.EvictionGrace)
 	}
 	return candidate
 }
--- a/internal/net/downstream/read.go
+++ b/internal/net/downstream/read.go
@@ -171,6 +171,7 @@
 	case c.lingering:
 		events |= loop.In
 	case c.upload != nil:
+		c.updateUploadEviction()
 		if events = loop.Hangup; c.upload.pipe.FreeSpace() > 0 { // while the pipe is full, only a hangup matters
 			events |= loop.In
 		}
