Core: bound the idempotency keys in memory

A key is remembered to the end of its repeat window, whatever their number. Change: 64 keys for each MB; a request with a further one is refused with Retry-After and not sent. Measured: TestKeysInMemoryAreBounded.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -44,7 +44,7 @@
 	actions          []admission.Action
 	abandonedStreams []*stream // abandoned since the last turn; see stream.isClientLeftPending
 	isClosed         bool      // no upstream request is made any more; see Close
-	lateStreams      []*stream // started since the last turn, after Close
+	lateStreams      []*stream // started since the last turn, to be ended without the module
 	idempotencyKeys  keyTable
 	ranRequests      ranTable
 
@@ -74,6 +74,8 @@
 	// RepeatWindows holds for each class how long upstream hosts drop a repeat of an idempotency key. 0: the class has no
 	// keys.
 	RepeatWindows []time.Duration
+	// MaxKeys bounds the idempotency keys that are remembered; 0: no bound. A request with a further one is refused.
+	MaxKeys int
 }
 
 // New returns a core without streams.
@@ -84,7 +86,7 @@
 	return &Core{decider: config.Decider, upstreams: config.Upstreams, counter: config.Counter, cluster: config.Cluster,
 		observer: config.Observer, metrics: config.Metrics, log: config.Log, deadlineMargin: config.DeadlineMargin,
 		streams: map[uint64]*stream{}, requestIDs: map[string]struct{}{}, probes: map[uint64]probe{},
-		idempotencyKeys: keyTable{repeatWindows: config.RepeatWindows, entries: map[string]*keyEntry{},
+		idempotencyKeys: keyTable{repeatWindows: config.RepeatWindows, maxEntries: config.MaxKeys, entries: map[string]*keyEntry{},
 			hostLocations: map[string]location{}},
 		predecessorStreams: map[uint64]StreamState{}, predecessorRan: map[uint64]struct{}{}, isDebugEnabled: DebugEnabled(config.Log)}
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -398,3 +398,29 @@
 	require.Equal(t, Expired, env.ends[0].Kind)
 	require.NotContains(t, log.String(), "unanswered at its deadline")
 }
+
+// However many keys are sent, no more than the bound are remembered. A request with a further one is refused and not sent,
+// and served again once there is room.
+func TestKeysInMemoryAreBounded(t *testing.T) {
+	module, env, log := &scriptedModule{respond: sendToHost}, &fakeEnvironment{}, &bytes.Buffer{}
+	core := New(Config{Decider: module, Upstreams: env, Counter: env, Cluster: env, Log: slog.New(slog.NewTextHandler(log, nil)),
+		RepeatWindows: []time.Duration{time.Second}, MaxKeys: 2})
+	start := func(now time.Duration, key string) {
+		r := env.request(100 * ms)
+		r.IdempotencyKey = key
+		id := core.StartStream(now, r)
+		core.Turn(now)
+		core.UpstreamEnded(now, Ref{Stream: id}, admission.OK, Answer{})
+		core.Turn(now)
+	}
+	for _, key := range []string{"a", "b", "c", "a"} {
+		start(0, key)
+	}
+	start(2*time.Second, "c")
+	var kinds []EndKind
+	for _, end := range env.ends {
+		kinds = append(kinds, end.Kind)
+	}
+	require.Equal(t, []EndKind{Served, Served, Refused, Served, Served}, kinds)
+	require.LessOrEqual(t, len(core.idempotencyKeys.entries), 2)
+}
--- a/internal/core/idempotency.go
+++ b/internal/core/idempotency.go
@@ -16,6 +16,12 @@
 	hostLocations map[string]location // by host name
 	expirations   []keyExpiry         // keys whose stream has finished, in the order of the finish
 	observer      KeyObserver         // nil: none
+	maxEntries    int                 // bounds entries for new keys; 0: no bound
+}
+
+// hasRoom reports whether a request with a key can be taken: the key is known, or there is room for it.
+func (t *keyTable) hasRoom(key string) bool {
+	return key == "" || t.maxEntries == 0 || len(t.entries) < t.maxEntries || t.entries[key] != nil
 }
 
 // keyEntry is the state of an idempotency key.
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -71,6 +71,10 @@
 	ev := r.RequestArrived
 	ev.ID = c.lastID
 	ev.ExpiresIn = max(0, ev.ExpiresIn-c.deadlineMargin)
+	hasKeyRoom := c.idempotencyKeys.hasRoom(r.IdempotencyKey)
+	if !hasKeyRoom {
+		r.IdempotencyKey = ""
+	}
 	if r.IdempotencyKey != "" {
 		ev.PriorAttempt = c.idempotencyKeys.priorAttempt(r.IdempotencyKey, c.now)
 		c.idempotencyKeys.acquire(r.IdempotencyKey, ev.ID)
@@ -89,7 +93,7 @@
 		c.setDeadlineTimers(s)
 	}
 	c.logRequestStarted(s, ev.ExpiresIn)
-	if c.isClosed {
+	if c.isClosed || !hasKeyRoom {
 		c.lateStreams = append(c.lateStreams, s)
 		return s.id
 	}
@@ -192,8 +196,11 @@
 	}
 }
 
-// endLateStreams ends the streams that have started after Close, each with a refusal unless an earlier request with its
-// idempotency key may have run.
+// keyRetryAfter is the advice to the client of a request for whose key there was no room.
+const keyRetryAfter = time.Second
+
+// endLateStreams ends the streams that have started after Close, or for whose key there was no room, each with a refusal
+// unless an earlier request with its idempotency key may have run.
 func (c *Core) endLateStreams() {
 	for len(c.lateStreams) > 0 {
 		late := c.lateStreams[0]
@@ -205,7 +212,11 @@
 		if c.idempotencyKeys.priorAttempt(late.idempotencyKey, c.now) != nil {
 			kind = Expired
 		}
-		c.closeStream(late, End{Kind: kind})
+		end := End{Kind: kind}
+		if !c.isClosed {
+			end.RetryAfter = keyRetryAfter
+		}
+		c.closeStream(late, end)
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -251,7 +251,7 @@
 	d.upstreams = upstream.New(l, cfg.Limits, d.log, &d.metrics.UpstreamRequests)
 	d.addClassMetrics()
 	parts := core.Config{Decider: d.module, Upstreams: d.upstreams, Counter: noCounter{}, Cluster: d, Log: d.log, Metrics: &d.metrics,
-		DeadlineMargin: cfg.Limits.DeadlineMargin}
+		DeadlineMargin: cfg.Limits.DeadlineMargin, MaxKeys: cfg.Limits.MaxIdempotencyKeys}
 	parts.RepeatWindows = core.RepeatWindows(cfg.Settings.Classes)
 	if d.options.OTLPEndpoint != "" {
 		if d.telemetry, err = newTelemetry(cfg, d.options, d.log); err != nil {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -35,6 +35,9 @@
 	// MaxCustomers bounds the customers whose state the decision module keeps.
 	MaxCustomers int
 
+	// MaxIdempotencyKeys bounds the keys of requests that may have run within their repeat window.
+	MaxIdempotencyKeys int
+
 	// MemoryWaitTimeout is how long a request may wait for memory before it is refused.
 	MemoryWaitTimeout time.Duration
 
@@ -222,6 +225,9 @@
 // customersPerMB bounds the customers in memory, which take less than a sixteenth of it.
 const customersPerMB = 64
 
+// keysPerMB bounds the idempotency keys in memory in the same way.
+const keysPerMB = 64
+
 // RelayWindow returns how many bytes of a new body may be buffered while the given number of bytes is granted to the bodies
 // that are relayed in the same direction. All windows together exceed MaxRelayBufferBytes by no more than minRelayWindow
 // each.
@@ -402,6 +408,7 @@
 	l.MaxUpstreamConns = free - l.MaxDownstreamConns
 	l.MaxRelayBufferBytes = l.MemoryMB << 20 / relayMemoryDivisor
 	l.MaxCustomers = l.MemoryMB * customersPerMB
+	l.MaxIdempotencyKeys = l.MemoryMB * keysPerMB
 	l.MemoryBudgetBytes = l.MemoryMB << 20 / memoryBudgetDivisor
 	return l, nil
 }
