--- a/cmd/ferryfront/memory_limit_test.go
+++ b/cmd/ferryfront/memory_limit_test.go
@@ -199,7 +199,7 @@
 // requireCrowdIsHarmless starts a daemon and requires that a crowd of the given kinds stays within the memory limit and that
 // others are served beside it.
 func requireCrowdIsHarmless(t *testing.T, kinds []crowdClient, clients int) {
-	env := newTestEnv(t).withCrowdLimits().start()
+	env := newTestEnv(t).withAdmin().withCrowdLimits().start()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -212,8 +212,13 @@
 	require.Less(t, longest, maxOrdinaryWait)
 	require.Zero(t, unanswered)
 	require.NotContains(t, env.log.String(), "unanswered at its deadline")
+	require.Eventually(t, func() bool { return env.metrics()["app_memory_held"] <= heldWhenIdle }, testTimeout, 50*time.Millisecond,
+		"what the crowd held is accounted for when it has gone")
 }
 
+// heldWhenIdle is more than the idle connections hold that are left when a crowd has gone, and less than four bodies.
+const heldWhenIdle = 256 << 10
+
 // A crowd of clients that hold as much memory as they can stays within the memory limit, and others are served beside it.
 func TestCrowdStaysWithinMemoryLimit(t *testing.T) {
 	t.Run("mixed", func(t *testing.T) { requireCrowdIsHarmless(t, crowdKinds, crowdClients) })
