--- a/admission/customer_limit.go
+++ b/admission/customer_limit.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// The customers that are kept in memory are bounded, since clients choose their ids. A customer that is forgotten
-// starts anew with full local tokens. The quota counter still has what it used in this window. A ceiling's tokens
-// are nowhere else: under a ceiling only customers whose tokens have refilled are forgotten before their time.
+// The customers that are kept in memory are bounded, since clients choose their ids. A customer that is
+// forgotten starts anew with full local tokens. The quota counter still has what it used in this window. A
+// ceiling's tokens are nowhere else: under a ceiling only customers whose tokens have refilled are forgotten.
 
 const (
-	// Share of the bound that is left after customers were forgotten, so that they are not searched each time.
+	// Share of the bound that is left after customers were forgotten, so that searches are rare.
 	keptCustomerShare = 0.75
 	// Interval between two searches, and the advice to a customer that is refused meanwhile.
 	customerRoomInterval = 100 * time.Millisecond
@@ -31,7 +31,7 @@
 	return len(g.customers) < g.maxCustomers
 }
 
-// forgetIdleCustomers drops the customers that have been idle longest, down to the given number if so many may go.
+// forgetIdleCustomers drops the customers that have been idle longest, down to the given number if it can.
 func (g *Gateway) forgetIdleCustomers(kept int) {
 	active := map[uint64]bool{}
 	for _, id := range g.ActiveCustomers() {
