Relayed answers: keep the units that the host charged, and relay no probe's

Found by reading the change: under a tight budget an answer is relayed from its beginning; the units that its host charged were lost with it, as for every long answer, and a probe's answer was relayed to nobody. The method of a request kept all of a long head in memory. Measured: TestResponsesAreRelayedWhileMemoryIsTight, which fails without the change.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -29,7 +29,8 @@
 
 // Message makes of a request what goes to an upstream host.
 func Message(r *http1.Request) *upstream.Message {
-	m := &upstream.Message{Method: r.Method, Target: retain(r, r.Target), Headers: make(http1.Headers, 0, len(forwardedHeaders)+1)}
+	m := &upstream.Message{Method: retain(r, r.Method), Target: retain(r, r.Target),
+		Headers: make(http1.Headers, 0, len(forwardedHeaders)+1)}
 	for _, name := range forwardedHeaders {
 		if v := r.Headers.Get(name); v != "" {
 			m.Headers = append(m.Headers, http1.Header{Name: name, Value: retain(r, v)})
--- a/internal/net/upstream/body.go
+++ b/internal/net/upstream/body.go
@@ -104,7 +104,7 @@
 	pipe.Append(resp.Body)
 	c.parser.ReleaseBodyBuffers()
 	c.pool.reportOutcome(ref, c.isProbe, responseOutcome(resp),
-		core.Answer{ContentType: resp.Headers.Get("Content-Type"), Rest: pipe})
+		core.Answer{ContentType: resp.Headers.Get("Content-Type"), Rest: pipe, Billed: chargedUnits(resp)})
 	if c.relay != nil {
 		c.pumpRelay()
 	}
--- a/internal/net/upstream/response.go
+++ b/internal/net/upstream/response.go
@@ -77,7 +77,7 @@
 		case resp != nil:
 			c.completeResponse(resp)
 			return
-		case c.parser.CanStream() && c.pool.memory.Level(c.parser.ExpectedBodyBytes()) != membudget.Ample:
+		case !c.isProbe && c.parser.CanStream() && c.pool.memory.Level(c.parser.ExpectedBodyBytes()) != membudget.Ample:
 			c.startRelay(c.parser.StartStreaming())
 			return
 		case c.earlyRelayTimer == nil && c.parser.HasUnknownLength():
