A client that closes its side and takes no responses is gone, too

Read, not shown: after the end of a client's stream its connection was read on, 16 KiB a turn and beyond the bound of pipelined input, while its responses waited to be taken. It is ended now; what was written is sent. TestSlowlyWrittenRequestIsServed: a request that its client writes for 2.5 s, with a time of 0.6 s, is served.

--- a/cmd/ferryfront/slow_transfer_test.go
+++ b/cmd/ferryfront/slow_transfer_test.go
@@ -209,3 +209,45 @@
 		})
 	}
 }
+
+// A client writes a long request slowly, for many times the time that it gives for the answer. Its time has not begun, and the
+// request is served, also if its host reads in pauses that are short of that time.
+func TestSlowlyWrittenRequestIsServed(t *testing.T) {
+	const size, pieces, pause = 400 << 10, 25, 100 * time.Millisecond
+	env := newTestEnv(t)
+	env.binary, env.extraEnv = buildWithFaults(t), []string{"FERRYFRONT_FAULTS=sendbuffer=8192"}
+	env.hosts["h1"] = func(rw http.ResponseWriter, r *http.Request) {
+		buffer := make([]byte, 64<<10)
+		read := 0
+		for {
+			n, err := io.ReadFull(r.Body, buffer)
+			if read += n; err != nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		fmt.Fprint(rw, read)
+	}
+	env.start()
+	var all sync.WaitGroup
+	defer all.Wait()
+	for form, body := range bodyForms {
+		all.Go(func() {
+			header, text := body(size)
+			head := strings.Replace(crowdHead("POST", "/api/63", "order", "slow-"+form, header), "2500m", "600m", 1)
+			c := env.dialAndWrite(head)
+			for len(text) > 0 {
+				n := min(len(text), size/pieces)
+				if _, err := io.WriteString(c, text[:n]); err != nil {
+					t.Errorf("%s: %v", form, err)
+					return
+				}
+				text = text[n:]
+				time.Sleep(pause)
+			}
+			if status := env.statusOf(c); status != 200 {
+				t.Errorf("%s: status %d", form, status)
+			}
+		})
+	}
+}
--- a/internal/net/downstream/close.go
+++ b/internal/net/downstream/close.go
@@ -26,6 +26,13 @@
 	c.updateEvents()
 }
 
+// hasDeparted reports whether a client that has closed its sending side counts as gone at once: its request is in progress,
+// it does not take its responses, or it has sent more than is buffered. Otherwise what it sent last is read first, as it may
+// be a request that is answered at once.
+func (c *Conn) hasDeparted() bool {
+	return c.awaitingResponse || c.memoryWaitSince != 0 || len(c.unsent) > 0 || c.parser.Buffered() > c.maxBufferedBytes()
+}
+
 // endForDepartedClient ends the request of a client that has closed its sending side: it counts as gone at once, not only
 // after its remaining input has been read. That input is read and discarded, because closing the socket with unread input
 // would reset the connection. A response whose body is still arriving is not finished.
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -224,7 +224,7 @@
 }
 
 // Ready handles the connection's readiness events: it writes, reads, or detects that the client has disconnected. A client
-// that has closed its sending side while its request is in progress counts as gone, whatever of its input is unread.
+// that has closed its sending side may count as gone whatever of its input is unread; see hasDeparted.
 func (c *Conn) Ready(events uint32) {
 	if events&loop.Out != 0 && !c.flush() {
 		return
@@ -236,7 +236,7 @@
 	switch {
 	case events&loop.FullHangup != 0: // unread input is useless, since no response can be sent
 		c.disconnect(closedReset)
-	case events&loop.ReadHangup != 0 && (c.awaitingResponse || c.memoryWaitSince != 0):
+	case events&loop.ReadHangup != 0 && c.hasDeparted():
 		c.endForDepartedClient()
 	case c.server.suspended && !c.awaitingResponse: // the process that continues the connection reads its input
 	case events&(loop.In|loop.Hangup) != 0:
