An attempt's time runs from when its host has the request

Callers saw: beside load nine of 12 long uploads in TestLongBodiesPassThrough got 504, half a second after they were sent with a time of 15 s. Cause: since requests' times run from when their last byte may have been written, the module's limit for an attempt did, too; it was over when the host had read the body. Evidence: TestAttemptTimeoutRunsFromWhenHostHasRequest fails without the change. What a client's system may hold is 4 MiB, the default of Linux, instead of 8.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -424,3 +424,22 @@
 	require.Equal(t, []EndKind{Served, Served, Refused, Served, Served}, kinds)
 	require.LessOrEqual(t, len(core.idempotencyKeys.entries), 2)
 }
+
+// A long request was written whole long before its host has read it. Its own time runs from then, that of its attempt from when
+// the host has it.
+func TestAttemptTimeoutRunsFromWhenHostHasRequest(t *testing.T) {
+	core, _, env, _ := newTestCore(func(ev admission.Event) []admission.Action {
+		if ev, ok := ev.(admission.RequestArrived); ok {
+			return []admission.Action{admission.Send{ID: ev.ID, Server: "h", Wait: 100 * ms}}
+		}
+		return nil
+	})
+	r := env.request(time.Second)
+	r.IsPartial, r.LastIncomplete = true, func() time.Duration { return 0 }
+	id := core.StartStream(0, r)
+	core.Turn(0)
+	core.RequestCompleted(500*ms, id)
+	require.Equal(t, 600*ms, core.Turn(500*ms))
+	require.NotContains(t, env.calls, "cancel")
+	require.Equal(t, time.Second-testMargin, core.streams[id].deadline)
+}
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -127,8 +127,8 @@
 	return max(s.startedAt, min(c.now, s.lastIncomplete()))
 }
 
-// RequestCompleted reports that the rest of a partial request has been read. The stream's deadline, and the timeouts of its
-// pending attempts, are counted from when it may have been written.
+// RequestCompleted reports that the rest of a partial request has been read. The stream's deadline is counted from when it
+// may have been written, the timeouts of its pending attempts from now.
 func (c *Core) RequestCompleted(now time.Duration, id uint64) {
 	c.AdvanceClock(now)
 	s := c.streams[id]
@@ -149,7 +149,7 @@
 		}
 		a.StartedAt = c.now
 		if a.timeout > 0 && a.timeout < s.timeout {
-			c.timers.Push(completedAt+a.timeout, timer{kind: attemptTimer, ref: Ref{s.id, i}})
+			c.timers.Push(c.now+a.timeout, timer{kind: attemptTimer, ref: Ref{s.id, i}}) // the host has it only now
 		}
 	}
 	c.events = append(c.events, admission.RequestComplete{ID: id, Waited: c.now - completedAt})
--- a/internal/net/downstream/unread.go
+++ b/internal/net/downstream/unread.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// maxSendBufferBytes is more than a client's system holds for a connection.
-const maxSendBufferBytes = 8 << 20
+// maxSendBufferBytes is the most that a client's system holds for a connection, by the default of Linux.
+const maxSendBufferBytes = 4 << 20
 
 // LastIncomplete returns a time at which the last byte of the current request had not been written yet, as late a one as is
 // known: the time of the request runs from then.
