Requests that wait for memory: one retry at a time, and back among those that may be evicted

One that was admitted without having sent anything could not be evicted any more. The comment on how long ids are remembered said more than is true of long repeat windows. Change: one timer for the retry; who is admitted goes back to its list.

--- a/internal/core/ranrequests.go
+++ b/internal/core/ranrequests.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// ranRequestMemory is how long the id of a request that may have run is remembered. It is longer than any deadline and
-	// repeat window.
+	// ranRequestMemory is how long the id of a request that may have run is remembered.
 	ranRequestMemory = 30 * time.Second
 	// maxRanRequests bounds the remembered ids. Beyond it the oldest is forgotten.
 	maxRanRequests = 8192
--- a/internal/net/downstream/downstream.go
+++ b/internal/net/downstream/downstream.go
@@ -65,6 +65,7 @@
 	uploadWindows    int               // bytes granted to the pipes of request bodies that are forwarded
 	memory           *membudget.Budget // nil: not limited
 	memoryWaiters    []*Conn           // not read until there is room, longest waiting first
+	memoryTimer      *loop.Timer       // calls admitMemoryWaiters; nil: not due
 	memoryLoggedAt   time.Duration     // last time that a shortage of memory was logged
 	handOverTimer    *loop.Timer       // calls handOverIdle; nil: not due
 	predecessorConns int               // client connections that the predecessor process still holds
--- a/internal/net/downstream/memory.go
+++ b/internal/net/downstream/memory.go
@@ -66,17 +66,22 @@
 	c.removeFromList() // its request may have been written whole, so it gets an answer
 	c.memoryWaitSince = s.loop.Now()
 	s.memoryWaiters = append(s.memoryWaiters, c)
-	if len(s.memoryWaiters) == 1 {
-		s.loop.After(memoryRetryInterval, s.admitMemoryWaiters)
-	}
+	s.scheduleMemoryRetry()
 	s.logMemoryShortage()
 }
 
+// scheduleMemoryRetry has admitMemoryWaiters called once, however often it is called itself until then.
+func (s *Server) scheduleMemoryRetry() {
+	if s.memoryTimer == nil {
+		s.memoryTimer = s.loop.After(memoryRetryInterval, s.admitMemoryWaiters)
+	}
+}
+
 // admitMemoryWaiters goes on with the connections that have room now, those that have waited longest first, and refuses
 // the requests of those that have waited too long.
 func (s *Server) admitMemoryWaiters() {
 	waiters := s.memoryWaiters
-	s.memoryWaiters = nil
+	s.memoryWaiters, s.memoryTimer = nil, nil
 	var rest []*Conn
 	for _, c := range waiters {
 		since := c.memoryWaitSince
@@ -85,6 +90,7 @@
 			c.memoryWaitSince = 0
 		case len(rest) == 0 && !c.lacksMemory():
 			c.memoryWaitSince = 0
+			c.addToEvictionList()
 			c.reserveMemory()
 			c.read()
 		case s.loop.Now()-since > s.bounds.MemoryWaitTimeout:
@@ -97,7 +103,7 @@
 	}
 	s.memoryWaiters = append(rest, s.memoryWaiters...)
 	if len(s.memoryWaiters) > 0 {
-		s.loop.After(memoryRetryInterval, s.admitMemoryWaiters)
+		s.scheduleMemoryRetry()
 	}
 }
 
